Lay out the workspace and the shared types

Cause: an empty repository; every later part needs one set of records, codes, declarations and settings. The fold keeps its state in sharded copy-on-write tables so that publishing a state costs only the shards written since. Ruled out: copying whole maps at each publication (claims alone may be 20,000). Not measured yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Targets for people and CI. `make help` lists them.
+MODULES := core gate mango stand
+PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
+BIN := build
+
+.PHONY: help build test race vet format lint generate check-generated demo bench prove policy capacity clean
+
+help: ## list the targets
+	@grep -hE '^[a-z-]+:.*##' Makefile | sed 's/:.*##/ -/'
+
+build: ## build gate, mango and stand into build/
+	@mkdir -p $(BIN)
+	go build -o $(BIN)/ ./gate ./mango ./stand
+
+test: ## run all tests
+	go test $(PACKAGES)
+
+race: ## run all tests with the race detector
+	go test -race $(PACKAGES)
+
+vet: ## run go vet
+	go vet $(PACKAGES)
+
+format: ## rewrite sources with gofumpt
+	go tool gofumpt -w $(MODULES)
+
+lint: ## check format and run revive
+	@out=$$(go tool gofumpt -l $(MODULES)); test -z "$$out" || { echo "not formatted:"; echo "$$out"; exit 1; }
+	go tool revive -set_exit_status $(PACKAGES)
+
+clean: ## remove build output
+	rm -rf $(BIN)
--- /dev/null
+++ b/core/event/clock.go
@@ -0,0 +1,45 @@
+package event
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	counterBits = 16
+	counterMask = 1<<counterBits - 1
+)
+
+// Stamp is a hybrid logical time: Unix milliseconds above 16 bits of counter.
+type Stamp uint64
+
+// Time returns the stamp's wall-clock part.
+func (s Stamp) Time() time.Time { return time.UnixMilli(int64(s >> counterBits)) }
+
+// Clock issues stamps that never go back and follow every stamp observed; the zero value works.
+type Clock struct {
+	mu   sync.Mutex
+	last Stamp
+}
+
+// Now returns a stamp above all issued or observed before.
+func (c *Clock) Now() Stamp {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	wall := Stamp(time.Now().UnixMilli()) << counterBits
+	if wall > c.last {
+		c.last = wall
+	} else {
+		c.last++
+	}
+	return c.last
+}
+
+// Observe makes later stamps follow one that came from another process.
+func (c *Clock) Observe(s Stamp) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s > c.last {
+		c.last = s
+	}
+}
--- /dev/null
+++ b/core/fold/rules.go
@@ -0,0 +1,102 @@
+package fold
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mangowing/core/record"
+)
+
+// vmMayStep lists the states that may follow each state of a VM.
+var vmMayStep = map[string][]string{
+	VMServing:     {VMDraining, VMQuarantined, VMLeaving},
+	VMDraining:    {VMMoving, VMRebooting, VMServing, VMQuarantined, VMLeaving},
+	VMMoving:      {VMServing, VMQuarantined, VMLeaving},
+	VMRebooting:   {VMServing, VMQuarantined, VMLeaving},
+	VMQuarantined: {VMRebooting, VMServing, VMLeaving},
+	VMLeaving:     {VMServing},
+}
+
+// checkVMStep returns why the step is not allowed, empty if it is. Only the end of a move changes the pool.
+func checkVMStep(current VM, s record.VMStepSpec) string {
+	if !slices.Contains(vmMayStep[current.State()], s.State) {
+		return "VM " + s.VM + " is " + current.State()
+	}
+	if s.State == VMMoving && (s.Target == "" || s.Target != current.Target()) {
+		return "VM " + s.VM + " was drained for another target"
+	}
+	endsMove := current.State() == VMMoving && s.State == VMServing
+	if endsMove && s.Pool != current.Target() {
+		return "the move of VM " + s.VM + " leads to pool " + current.Target()
+	}
+	if !endsMove && s.Pool != current.Pool() {
+		return "VM " + s.VM + " belongs to pool " + current.Pool()
+	}
+	return ""
+}
+
+var waveSteps = map[string][]string{
+	WavePlanned:   {WaveRunning, WaveCancelled},
+	WaveRunning:   {WavePaused, WaveCancelled, WaveDone},
+	WavePaused:    {WaveRunning, WaveCancelled},
+	WaveCancelled: {WaveRunning},
+	WaveDone:      {WaveRunning},
+}
+
+func waveMayStep(from, to string) bool {
+	return slices.Contains(waveSteps[from], to)
+}
+
+// resplit returns a split of the limit among the data centres that differs from the old one in one direction only.
+// A limit below the number of data centres starts whole in one of them.
+func resplit(team string, old map[string]int, dataCentres []string, limit int) map[string]int {
+	split := make(map[string]int, len(dataCentres))
+	total := 0
+	for _, dc := range dataCentres {
+		split[dc] = old[dc]
+		total += old[dc]
+	}
+	if len(dataCentres) == 0 {
+		return split
+	}
+	order := rendezvousOrder(team, dataCentres)
+	if total == 0 && limit < len(dataCentres) {
+		split[order[0]] = limit
+		return split
+	}
+	for ; total < limit; total++ {
+		split[extreme(split, order, false)]++
+	}
+	for ; total > limit; total-- {
+		split[extreme(split, order, true)]--
+	}
+	return split
+}
+
+// extreme returns the data centre with the fewest rights, or the most; the first in order among equals.
+func extreme(split map[string]int, order []string, most bool) string {
+	best := order[0]
+	for _, dc := range order[1:] {
+		if most && split[dc] > split[best] || !most && split[dc] < split[best] {
+			best = dc
+		}
+	}
+	return best
+}
+
+func rendezvousOrder(key string, names []string) []string {
+	order := slices.Clone(names)
+	slices.SortFunc(order, func(a, b string) int {
+		x, y := xxhash.Sum64String(key+"\x00"+a), xxhash.Sum64String(key+"\x00"+b)
+		switch {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return order
+}
--- /dev/null
+++ b/core/fold/state.go
@@ -0,0 +1,353 @@
+package fold
+
+import (
+	"mangowing/core/decl"
+	"mangowing/core/record"
+)
+
+// Key is a granted key: the team it works for, the operator's label, and whether it was withdrawn.
+type Key struct {
+	w keyWire
+}
+
+type keyWire struct {
+	Team      string `json:"team"`
+	Label     string `json:"label,omitempty"`
+	Withdrawn bool   `json:"withdrawn,omitempty"`
+}
+
+// Team returns the team that the key works for.
+func (k Key) Team() string { return k.w.Team }
+
+// Label returns the operator's label.
+func (k Key) Label() string { return k.w.Label }
+
+// Withdrawn tells whether the key has stopped working for good.
+func (k Key) Withdrawn() bool { return k.w.Withdrawn }
+
+// States of a VM.
+const (
+	VMServing     = "serving"
+	VMDraining    = "draining"
+	VMMoving      = "moving"
+	VMRebooting   = "rebooting"
+	VMQuarantined = "quarantined"
+	VMLeaving     = "leaving"
+)
+
+// VM is the agreed state of one VM.
+type VM struct {
+	w vmWire
+}
+
+type vmWire struct {
+	Revision   uint64 `json:"revision"`
+	Since      int64  `json:"since-ms"`
+	Generation uint64 `json:"generation"`
+	State      string `json:"state"`
+	Pool       string `json:"pool"`
+	Target     string `json:"target,omitempty"`
+	Wave       string `json:"wave,omitempty"`
+}
+
+// Revision returns the revision that the next step must name as its base, 0 for a VM without a step.
+func (v VM) Revision() uint64 { return v.w.Revision }
+
+// SinceMs returns the wall clock of the last step's writer in Unix milliseconds.
+func (v VM) SinceMs() int64 { return v.w.Since }
+
+// Generation returns the VM's generation as the last step saw it.
+func (v VM) Generation() uint64 { return v.w.Generation }
+
+// State returns the VM's state, such as VMServing.
+func (v VM) State() string { return v.w.State }
+
+// Pool returns the one pool that the VM belongs to.
+func (v VM) Pool() string { return v.w.Pool }
+
+// Target returns the pool that a move leads to, empty for none.
+func (v VM) Target() string { return v.w.Target }
+
+// Wave returns the wave that caused the last step, empty for none.
+func (v VM) Wave() string { return v.w.Wave }
+
+// Lease is the planner's lease as the log has it.
+type Lease struct {
+	w leaseWire
+}
+
+type leaseWire struct {
+	Holder   string `json:"holder"`
+	Revision uint64 `json:"revision"`
+	Token    uint64 `json:"token"`
+	TTLMs    int64  `json:"ttl-ms"`
+}
+
+// Holder returns the incarnation that holds the lease, empty for none.
+func (l Lease) Holder() string { return l.w.Holder }
+
+// Revision returns the revision that the next claim or renewal must name as its base.
+func (l Lease) Revision() uint64 { return l.w.Revision }
+
+// Token returns the fencing token, which grows whenever the holder changes.
+func (l Lease) Token() uint64 { return l.w.Token }
+
+// TTLMs returns how long the lease lasts in milliseconds.
+func (l Lease) TTLMs() int64 { return l.w.TTLMs }
+
+// States of a wave.
+const (
+	WavePlanned   = "planned"
+	WaveRunning   = "running"
+	WavePaused    = "paused"
+	WaveCancelled = "cancelled"
+	WaveDone      = "done"
+)
+
+// Wave is the agreed progress of one wave.
+type Wave struct {
+	w waveWire
+}
+
+type waveWire struct {
+	Revision  uint64 `json:"revision"`
+	StartedMs int64  `json:"started-ms"`
+	State     string `json:"state"`
+	Reason    string `json:"reason,omitempty"`
+	Run       uint64 `json:"run"`
+}
+
+// Revision returns the revision that the next step must name as its base, 0 for a wave without a step.
+func (w Wave) Revision() uint64 { return w.w.Revision }
+
+// State returns the wave's state, such as WaveRunning.
+func (w Wave) State() string { return w.w.State }
+
+// Reason returns why the last step was taken.
+func (w Wave) Reason() string { return w.w.Reason }
+
+// StartedMs returns the writer's wall clock at the start in Unix milliseconds.
+func (w Wave) StartedMs() int64 { return w.w.StartedMs }
+
+// Run returns the revision of the wave's last start; VMs stepped by the wave since then are done.
+func (w Wave) Run() uint64 { return w.w.Run }
+
+// Claim is the first claim on an idempotency key.
+type Claim struct {
+	w claimWire
+}
+
+type claimWire struct {
+	Holder string `json:"holder"`
+	Digest string `json:"digest"`
+	Seq    uint64 `json:"seq"`
+}
+
+// Holder returns the incarnation that may start the request.
+func (c Claim) Holder() string { return c.w.Holder }
+
+// Digest returns the digest of the claimed request.
+func (c Claim) Digest() string { return c.w.Digest }
+
+// Job is the agreed state of one job.
+type Job struct {
+	w jobWire
+}
+
+type jobWire struct {
+	Revision uint64             `json:"revision"`
+	AtMs     int64              `json:"at-ms"`
+	Step     record.JobStepSpec `json:"step"`
+	Workers  []string           `json:"workers,omitempty"`
+}
+
+// Revision returns the revision that the next step must name as its base.
+func (j Job) Revision() uint64 { return j.w.Revision }
+
+// AtMs returns the wall clock of the last step's writer in Unix milliseconds.
+func (j Job) AtMs() int64 { return j.w.AtMs }
+
+// Step returns the last step's fields.
+func (j Job) Step() record.JobStepSpec { return j.w.Step }
+
+// Workers returns the distinct workers that the job was started on.
+func (j Job) Workers() []string { return j.w.Workers }
+
+// HistoryEntry is one accepted or refused change.
+type HistoryEntry struct {
+	w historyWire
+}
+
+type historyWire struct {
+	Revision uint64 `json:"revision"`
+	ID       string `json:"id"`
+	By       string `json:"by"`
+	AtMs     int64  `json:"at-ms"`
+	Note     string `json:"note,omitempty"`
+	Objects  int    `json:"objects"`
+	Code     uint16 `json:"code"`
+}
+
+// Revision returns the change's place in the log's order of records.
+func (h HistoryEntry) Revision() uint64 { return h.w.Revision }
+
+// ID returns the record's id.
+func (h HistoryEntry) ID() string { return h.w.ID }
+
+// By returns the operator.
+func (h HistoryEntry) By() string { return h.w.By }
+
+// AtMs returns the writer's wall clock in Unix milliseconds.
+func (h HistoryEntry) AtMs() int64 { return h.w.AtMs }
+
+// Note returns the operator's note.
+func (h HistoryEntry) Note() string { return h.w.Note }
+
+// Objects returns the number of sections changed.
+func (h HistoryEntry) Objects() int { return h.w.Objects }
+
+// Code returns the number of the result code.
+func (h HistoryEntry) Code() uint16 { return h.w.Code }
+
+type storedObject struct {
+	Revision uint64        `json:"revision"`
+	Object   record.Object `json:"object"`
+}
+
+type allotState struct {
+	Revision uint64         `json:"revision"`
+	Split    map[string]int `json:"split"`
+	Pending  *pendingAllot  `json:"pending,omitempty"`
+}
+
+type pendingAllot struct {
+	From  string `json:"from"`
+	To    string `json:"to"`
+	Count int    `json:"count"`
+}
+
+// State is one immutable state of the fold; the zero value is the state before the first record.
+type State struct {
+	offset    uint64
+	seq       uint64
+	config    *decl.Config
+	objects   table[storedObject]
+	keys      table[Key]
+	vms       table[VM]
+	waves     table[Wave]
+	claims    table[Claim]
+	jobs      table[Job]
+	allots    table[allotState]
+	lease     Lease
+	history   []HistoryEntry
+	malformed uint64
+	digest    uint64
+}
+
+// Offset returns the last log offset folded, 0 before the first.
+func (s *State) Offset() uint64 { return s.offset }
+
+// Revision returns the number of records folded.
+func (s *State) Revision() uint64 { return s.seq }
+
+// Digest returns a hash over all records folded, equal on every gate at the same offset.
+func (s *State) Digest() uint64 { return s.digest }
+
+// Malformed returns how many records were skipped as malformed.
+func (s *State) Malformed() uint64 { return s.malformed }
+
+// Config returns the configuration in force, never nil.
+func (s *State) Config() *decl.Config {
+	if s.config == nil {
+		return decl.Empty()
+	}
+	return s.config
+}
+
+// Key returns the key with the given hex SHA-256 hash.
+func (s *State) Key(hash string) (Key, bool) { return s.keys.get(hash) }
+
+// KeyHashes returns the hashes of all keys ever granted, in order.
+func (s *State) KeyHashes() []string { return s.keys.keys() }
+
+// VM returns the agreed state of a VM; one without a step serves in its declared home, an undeclared one in no pool.
+func (s *State) VM(name string) VM {
+	if v, ok := s.vms.get(name); ok {
+		return v
+	}
+	return VM{vmWire{State: VMServing, Pool: s.Config().Home(name)}}
+}
+
+// VMNames returns the names of all VMs that had a step, in order.
+func (s *State) VMNames() []string { return s.vms.keys() }
+
+// Wave returns the progress of a wave, that of a planned one where no step was taken.
+func (s *State) Wave(name string) Wave {
+	if w, ok := s.waves.get(name); ok {
+		return w
+	}
+	return Wave{waveWire{State: WavePlanned}}
+}
+
+// Claim returns the first claim on a team's idempotency key.
+func (s *State) Claim(team, key string) (Claim, bool) { return s.claims.get(claimKey(team, key)) }
+
+// Job returns the job with the given id.
+func (s *State) Job(id string) (Job, bool) { return s.jobs.get(id) }
+
+// JobIDs returns the ids of all jobs kept, in order.
+func (s *State) JobIDs() []string { return s.jobs.keys() }
+
+// Lease returns the planner's lease.
+func (s *State) Lease() Lease { return s.lease }
+
+// History returns the last changes, oldest first.
+func (s *State) History() []HistoryEntry { return s.history }
+
+// Object returns a declared section and its revision, 0 where it is not declared.
+func (s *State) Object(kind, name string) (record.Object, uint64) {
+	stored, _ := s.objects.get(objectKey(kind, name))
+	return stored.Object, stored.Revision
+}
+
+// Objects returns all declared sections in order of kind and name.
+func (s *State) Objects() []record.Object {
+	var out []record.Object
+	for _, key := range s.objects.keys() {
+		stored, _ := s.objects.get(key)
+		if !stored.Object.Removed() {
+			out = append(out, stored.Object.WithBase(stored.Revision))
+		}
+	}
+	return out
+}
+
+// Allotment returns how many rights of the team's limit a data centre holds; all data centres' sum is the limit.
+// While a hand-over is pending the giving data centre's count is already lowered and the receiver's not yet raised.
+func (s *State) Allotment(team, dataCentre string) int {
+	a, _ := s.allots.get(team)
+	n := a.Split[dataCentre]
+	if a.Pending != nil && a.Pending.From == dataCentre {
+		n -= a.Pending.Count
+	}
+	return n
+}
+
+// AllotmentRevision returns the revision that the next allotment record for the team must name as its base.
+func (s *State) AllotmentRevision(team string) uint64 {
+	a, _ := s.allots.get(team)
+	return a.Revision
+}
+
+// PendingAllotment returns the team's pending hand-over between data centres and whether there is one.
+func (s *State) PendingAllotment(team string) (from, to string, count int, pending bool) {
+	a, _ := s.allots.get(team)
+	if a.Pending == nil {
+		return "", "", 0, false
+	}
+	return a.Pending.From, a.Pending.To, a.Pending.Count, true
+}
+
+func objectKey(kind, name string) string { return kind + " " + name }
+
+func claimKey(team, key string) string { return team + "\x00" + key }
--- /dev/null
+++ b/core/fold/table.go
@@ -0,0 +1,91 @@
+package fold
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const shardCount = 64
+
+// table is a string-keyed map whose published copies stay valid while the folder goes on writing.
+type table[V any] struct {
+	shards [shardCount]map[string]V
+	owned  [shardCount]bool
+	n      int
+}
+
+func shardOf(key string) int {
+	return int(xxhash.Sum64String(key) % shardCount)
+}
+
+func (t *table[V]) get(key string) (V, bool) {
+	v, ok := t.shards[shardOf(key)][key]
+	return v, ok
+}
+
+func (t *table[V]) set(key string, v V) {
+	shard := t.own(key)
+	if _, ok := shard[key]; !ok {
+		t.n++
+	}
+	shard[key] = v
+}
+
+func (t *table[V]) remove(key string) {
+	if _, ok := t.get(key); !ok {
+		return
+	}
+	delete(t.own(key), key)
+	t.n--
+}
+
+// own copies the key's shard before its first write after a publication.
+func (t *table[V]) own(key string) map[string]V {
+	i := shardOf(key)
+	if t.owned[i] {
+		return t.shards[i]
+	}
+	t.owned[i] = true
+	if t.shards[i] == nil {
+		t.shards[i] = map[string]V{}
+	} else {
+		t.shards[i] = maps.Clone(t.shards[i])
+	}
+	return t.shards[i]
+}
+
+// publish returns a copy that later writes do not change.
+func (t *table[V]) publish() table[V] {
+	t.owned = [shardCount]bool{}
+	return *t
+}
+
+func (t *table[V]) len() int { return t.n }
+
+func (t *table[V]) keys() []string {
+	out := make([]string, 0, t.n)
+	for _, shard := range t.shards {
+		for key := range shard {
+			out = append(out, key)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (t *table[V]) toMap() map[string]V {
+	out := make(map[string]V, t.n)
+	for _, shard := range t.shards {
+		maps.Copy(out, shard)
+	}
+	return out
+}
+
+func (t *table[V]) fromMap(m map[string]V) {
+	*t = table[V]{}
+	for key, v := range m {
+		t.set(key, v)
+	}
+}
--- /dev/null
+++ b/core/logs/doc.go
@@ -0,0 +1,2 @@
+// Package logs sends klog's lines to a writer as JSON, one object a line.
+package logs
--- /dev/null
+++ b/core/record/body.go
@@ -0,0 +1,452 @@
+package record
+
+import "encoding/json"
+
+const (
+	kindChange      = "change"
+	kindKeyGrant    = "key-grant"
+	kindKeyWithdraw = "key-withdraw"
+	kindLease       = "lease"
+	kindVMStep      = "vm-step"
+	kindClaim       = "claim"
+	kindWaveStep    = "wave-step"
+	kindJobStep     = "job-step"
+	kindAllotment   = "allotment"
+	kindSnapshot    = "snapshot"
+)
+
+func decodeBody(kind string, raw json.RawMessage) (Body, error) {
+	switch kind {
+	case kindChange:
+		return decodeInto(raw, func(w changeWire) Body { return Change{w} })
+	case kindKeyGrant:
+		return decodeInto(raw, func(w keyGrantWire) Body { return KeyGrant{w} })
+	case kindKeyWithdraw:
+		return decodeInto(raw, func(w keyWithdrawWire) Body { return KeyWithdraw{w} })
+	case kindLease:
+		return decodeInto(raw, func(w leaseWire) Body { return Lease{w} })
+	case kindVMStep:
+		return decodeInto(raw, func(w vmStepWire) Body { return VMStep{w} })
+	case kindClaim:
+		return decodeInto(raw, func(w claimWire) Body { return Claim{w} })
+	case kindWaveStep:
+		return decodeInto(raw, func(w waveStepWire) Body { return WaveStep{w} })
+	case kindJobStep:
+		return decodeInto(raw, func(w jobStepWire) Body { return JobStep{w} })
+	case kindAllotment:
+		return decodeInto(raw, func(w allotmentWire) Body { return Allotment{w} })
+	case kindSnapshot:
+		return decodeInto(raw, func(w snapshotWire) Body { return Snapshot{w} })
+	default:
+		return nil, ErrMalformed
+	}
+}
+
+func decodeInto[W any](raw json.RawMessage, build func(W) Body) (Body, error) {
+	var w W
+	if err := json.Unmarshal(raw, &w); err != nil {
+		return nil, ErrMalformed
+	}
+	return build(w), nil
+}
+
+// Object is one declared section: kind, name, its fields in order, the revision it replaces and whether it is removed.
+type Object struct {
+	w objectWire
+}
+
+type objectWire struct {
+	Kind    string      `json:"kind"`
+	Name    string      `json:"name"`
+	Fields  []fieldWire `json:"fields,omitempty"`
+	Base    uint64      `json:"base"`
+	Removed bool        `json:"removed,omitempty"`
+}
+
+type fieldWire struct {
+	Key   string `json:"key"`
+	Value string `json:"value"`
+}
+
+// NewObject returns a declared section that replaces the one of the given revision, 0 for a new one.
+func NewObject(kind, name string, base uint64) Object {
+	return Object{objectWire{Kind: kind, Name: name, Base: base}}
+}
+
+// With returns the object with one more field.
+func (o Object) With(key, value string) Object {
+	o.w.Fields = append(o.w.Fields[:len(o.w.Fields):len(o.w.Fields)], fieldWire{key, value})
+	return o
+}
+
+// AsRemoved returns the object marked as removed.
+func (o Object) AsRemoved() Object {
+	o.w.Removed = true
+	return o
+}
+
+// WithBase returns the object based on another revision.
+func (o Object) WithBase(base uint64) Object {
+	o.w.Base = base
+	return o
+}
+
+// Kind returns the section's kind, such as "team".
+func (o Object) Kind() string { return o.w.Kind }
+
+// Name returns the section's name within its kind.
+func (o Object) Name() string { return o.w.Name }
+
+// Base returns the revision that the object replaces.
+func (o Object) Base() uint64 { return o.w.Base }
+
+// Removed tells whether the section is removed.
+func (o Object) Removed() bool { return o.w.Removed }
+
+// Len returns the number of fields.
+func (o Object) Len() int { return len(o.w.Fields) }
+
+// Field returns key and value of field i.
+func (o Object) Field(i int) (key, value string) {
+	return o.w.Fields[i].Key, o.w.Fields[i].Value
+}
+
+// SameFields tells whether both objects declare the same.
+func (o Object) SameFields(other Object) bool {
+	if o.w.Removed != other.w.Removed || len(o.w.Fields) != len(other.w.Fields) {
+		return false
+	}
+	for i := range o.w.Fields {
+		if o.w.Fields[i] != other.w.Fields[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// MarshalJSON returns the object's wire form.
+func (o Object) MarshalJSON() ([]byte, error) { return json.Marshal(o.w) }
+
+// UnmarshalJSON reads the object's wire form.
+func (o *Object) UnmarshalJSON(b []byte) error { return json.Unmarshal(b, &o.w) }
+
+// Change replaces declared sections, all of them or none.
+type Change struct {
+	w changeWire
+}
+
+type changeWire struct {
+	Objects []Object `json:"objects"`
+	Note    string   `json:"note,omitempty"`
+}
+
+// NewChange returns a change of the given sections with a note for the history.
+func NewChange(objects []Object, note string) Change {
+	return Change{changeWire{objects, note}}
+}
+
+// Objects returns the changed sections.
+func (c Change) Objects() []Object { return c.w.Objects }
+
+// Note returns the operator's note.
+func (c Change) Note() string { return c.w.Note }
+
+func (c Change) kind() string { return kindChange }
+func (c Change) wire() any    { return c.w }
+
+// KeyGrant lets callers that show the key with the given hash work for a team.
+type KeyGrant struct {
+	w keyGrantWire
+}
+
+type keyGrantWire struct {
+	Hash  string `json:"hash"`
+	Team  string `json:"team"`
+	Label string `json:"label,omitempty"`
+}
+
+// NewKeyGrant returns a grant of the key with the given hex SHA-256 hash to a team.
+func NewKeyGrant(hash, team, label string) KeyGrant {
+	return KeyGrant{keyGrantWire{hash, team, label}}
+}
+
+// Hash returns the key's hex SHA-256 hash.
+func (k KeyGrant) Hash() string { return k.w.Hash }
+
+// Team returns the team that the key works for.
+func (k KeyGrant) Team() string { return k.w.Team }
+
+// Label returns the operator's label.
+func (k KeyGrant) Label() string { return k.w.Label }
+
+func (k KeyGrant) kind() string { return kindKeyGrant }
+func (k KeyGrant) wire() any    { return k.w }
+
+// KeyWithdraw withdraws a key for good.
+type KeyWithdraw struct {
+	w keyWithdrawWire
+}
+
+type keyWithdrawWire struct {
+	Hash string `json:"hash"`
+}
+
+// NewKeyWithdraw returns a withdrawal of the key with the given hex SHA-256 hash.
+func NewKeyWithdraw(hash string) KeyWithdraw { return KeyWithdraw{keyWithdrawWire{hash}} }
+
+// Hash returns the key's hex SHA-256 hash.
+func (k KeyWithdraw) Hash() string { return k.w.Hash }
+
+func (k KeyWithdraw) kind() string { return kindKeyWithdraw }
+func (k KeyWithdraw) wire() any    { return k.w }
+
+// Lease claims or renews the planner's lease for a gate incarnation.
+type Lease struct {
+	w leaseWire
+}
+
+type leaseWire struct {
+	Holder string `json:"holder"`
+	Base   uint64 `json:"base"`
+	TTLMs  int64  `json:"ttl-ms"`
+}
+
+// NewLease returns a claim that replaces the lease of revision base and lasts ttlMs milliseconds.
+func NewLease(holder string, base uint64, ttlMs int64) Lease {
+	return Lease{leaseWire{holder, base, ttlMs}}
+}
+
+// Holder returns the incarnation that claims the lease.
+func (l Lease) Holder() string { return l.w.Holder }
+
+// Base returns the revision of the lease that this one replaces.
+func (l Lease) Base() uint64 { return l.w.Base }
+
+// TTLMs returns how long the lease lasts in milliseconds.
+func (l Lease) TTLMs() int64 { return l.w.TTLMs }
+
+func (l Lease) kind() string { return kindLease }
+func (l Lease) wire() any    { return l.w }
+
+// VMStep moves one VM to its next state; it wins only on the VM's current revision.
+type VMStep struct {
+	w vmStepWire
+}
+
+type vmStepWire struct {
+	VM         string `json:"vm"`
+	Base       uint64 `json:"base"`
+	Generation uint64 `json:"generation"`
+	State      string `json:"state"`
+	Pool       string `json:"pool"`
+	Target     string `json:"target,omitempty"`
+	Wave       string `json:"wave,omitempty"`
+	Token      uint64 `json:"token"`
+}
+
+// VMStepSpec names the fields of a VMStep for NewVMStep.
+type VMStepSpec struct {
+	VM         string // the VM's name
+	Base       uint64 // the revision of the VM's state that the step replaces, 0 for none
+	Generation uint64 // the VM's generation, raised by each reboot or replacement
+	State      string // the state entered
+	Pool       string // the pool that the VM belongs to during this state
+	Target     string // the pool that a move leads to, empty for none
+	Wave       string // the wave that causes the step, empty for none
+	Token      uint64 // the fencing token of the planner's lease, 0 for an operator's step
+}
+
+// NewVMStep returns the step described by the specification.
+func NewVMStep(s VMStepSpec) VMStep {
+	return VMStep{vmStepWire(s)}
+}
+
+// Spec returns all fields of the step.
+func (v VMStep) Spec() VMStepSpec { return VMStepSpec(v.w) }
+
+func (v VMStep) kind() string { return kindVMStep }
+func (v VMStep) wire() any    { return v.w }
+
+// Claim gives the one incarnation that wrote it the right to start the request with a caller's idempotency key.
+type Claim struct {
+	w claimWire
+}
+
+type claimWire struct {
+	Team   string `json:"team"`
+	Key    string `json:"key"`
+	Digest string `json:"digest"`
+	Holder string `json:"holder"`
+}
+
+// NewClaim returns a claim by a gate incarnation on a team's idempotency key for a request body with the given digest.
+func NewClaim(team, key, digest, holder string) Claim {
+	return Claim{claimWire{team, key, digest, holder}}
+}
+
+// Team returns the team of the request.
+func (c Claim) Team() string { return c.w.Team }
+
+// Key returns the caller's idempotency key.
+func (c Claim) Key() string { return c.w.Key }
+
+// Digest returns the digest of queue and body, so that another request under the same key is noticed.
+func (c Claim) Digest() string { return c.w.Digest }
+
+// Holder returns the incarnation that may start the request.
+func (c Claim) Holder() string { return c.w.Holder }
+
+func (c Claim) kind() string { return kindClaim }
+func (c Claim) wire() any    { return c.w }
+
+// WaveStep starts, pauses, resumes, cancels or completes a maintenance wave.
+type WaveStep struct {
+	w waveStepWire
+}
+
+type waveStepWire struct {
+	Wave   string `json:"wave"`
+	Base   uint64 `json:"base"`
+	State  string `json:"state"`
+	Reason string `json:"reason,omitempty"`
+	Token  uint64 `json:"token"`
+}
+
+// NewWaveStep returns a step of a wave to a state, based on the wave's revision; token is 0 for an operator's step.
+func NewWaveStep(wave string, base uint64, state, reason string, token uint64) WaveStep {
+	return WaveStep{waveStepWire{wave, base, state, reason, token}}
+}
+
+// Wave returns the wave's name.
+func (s WaveStep) Wave() string { return s.w.Wave }
+
+// Base returns the revision of the wave that the step replaces.
+func (s WaveStep) Base() uint64 { return s.w.Base }
+
+// State returns the state entered: planned, running, paused, cancelled or done.
+func (s WaveStep) State() string { return s.w.State }
+
+// Reason returns why the step was taken.
+func (s WaveStep) Reason() string { return s.w.Reason }
+
+// Token returns the planner's fencing token.
+func (s WaveStep) Token() uint64 { return s.w.Token }
+
+func (s WaveStep) kind() string { return kindWaveStep }
+func (s WaveStep) wire() any    { return s.w }
+
+// JobStep moves one job to its next state.
+type JobStep struct {
+	w jobStepWire
+}
+
+type jobStepWire struct {
+	Job     string `json:"job"`
+	Base    uint64 `json:"base"`
+	State   string `json:"state"`
+	Team    string `json:"team"`
+	Queue   string `json:"queue"`
+	Worker  string `json:"worker,omitempty"`
+	Attempt int    `json:"attempt"`
+	Spec    string `json:"spec,omitempty"`
+	Token   uint64 `json:"token"`
+}
+
+// JobStepSpec names the fields of a JobStep for NewJobStep.
+type JobStepSpec struct {
+	Job     string // the job's id
+	Base    uint64 // the revision of the job that the step replaces, 0 for a new job
+	State   string // the state entered
+	Team    string // the team that the job works for
+	Queue   string // the queue that it was handed to
+	Worker  string // the worker that holds its lease, empty for none
+	Attempt int    // the number of starts so far
+	Spec    string // what the worker is told to do, on the first record only
+	Token   uint64 // the planner's fencing token, 0 for a caller's step
+}
+
+// MarshalJSON returns the wire form of the fields.
+func (s JobStepSpec) MarshalJSON() ([]byte, error) { return json.Marshal(jobStepWire(s)) }
+
+// UnmarshalJSON reads the wire form of the fields.
+func (s *JobStepSpec) UnmarshalJSON(b []byte) error {
+	var w jobStepWire
+	if err := json.Unmarshal(b, &w); err != nil {
+		return err
+	}
+	*s = JobStepSpec(w)
+	return nil
+}
+
+// NewJobStep returns the step described by the specification.
+func NewJobStep(s JobStepSpec) JobStep { return JobStep{jobStepWire(s)} }
+
+// StepSpec returns all fields of the step.
+func (j JobStep) StepSpec() JobStepSpec { return JobStepSpec(j.w) }
+
+func (j JobStep) kind() string { return kindJobStep }
+func (j JobStep) wire() any    { return j.w }
+
+// Allotment changes how a team's limit is split among data centres.
+type Allotment struct {
+	w allotmentWire
+}
+
+type allotmentWire struct {
+	Team  string `json:"team"`
+	Base  uint64 `json:"base"`
+	Phase string `json:"phase"`
+	From  string `json:"from"`
+	To    string `json:"to"`
+	Count int    `json:"count"`
+}
+
+// NewAllotment returns a hand-over of count rights of a team's limit between data centres; phase is "intent" or "release".
+func NewAllotment(team string, base uint64, phase, from, to string, count int) Allotment {
+	return Allotment{allotmentWire{team, base, phase, from, to, count}}
+}
+
+// Team returns the team whose limit is split.
+func (a Allotment) Team() string { return a.w.Team }
+
+// Base returns the revision of the split that this record replaces.
+func (a Allotment) Base() uint64 { return a.w.Base }
+
+// Phase returns "intent" or "release".
+func (a Allotment) Phase() string { return a.w.Phase }
+
+// From returns the data centre that gives.
+func (a Allotment) From() string { return a.w.From }
+
+// To returns the data centre that receives.
+func (a Allotment) To() string { return a.w.To }
+
+// Count returns the number of rights handed over.
+func (a Allotment) Count() int { return a.w.Count }
+
+func (a Allotment) kind() string { return kindAllotment }
+func (a Allotment) wire() any    { return a.w }
+
+// Snapshot is the compacted state up to and including an offset.
+type Snapshot struct {
+	w snapshotWire
+}
+
+type snapshotWire struct {
+	Covered uint64          `json:"covered"`
+	State   json.RawMessage `json:"state"`
+}
+
+// NewSnapshot returns a snapshot of the encoded state that covers all entries up to the offset.
+func NewSnapshot(covered uint64, state json.RawMessage) Snapshot {
+	return Snapshot{snapshotWire{covered, state}}
+}
+
+// Covered returns the last offset that the snapshot contains.
+func (s Snapshot) Covered() uint64 { return s.w.Covered }
+
+// State returns the encoded state.
+func (s Snapshot) State() json.RawMessage { return s.w.State }
+
+func (s Snapshot) kind() string { return kindSnapshot }
+func (s Snapshot) wire() any    { return s.w }
