Add the rights ledger of one gate incarnation

Cause: a team's limit must hold at the upstreams with no log, clock or leader in the path. A gate spends a right per start, peers trade spare ones inside a committed recount's roster, and any member may recount: it takes the epoch first, and adds what nobody reported. A lowered limit is burned by every gate in full as it folds the fall, and the team's rights don't travel before a recount that rests on that state; so the new limit holds at once, and the recount mends what was burned too much. Ruled out: a debt of the initiator, which lets the others' spare rights start work above the new limit until it is collected.

--- /dev/null
+++ b/core/rights/ledger_test.go
@@ -0,0 +1,154 @@
+package rights
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const team = "press-shop"
+
+// pair returns two ledgers counted in one recount, the first with all ten rights.
+func pair(t *testing.T) (a, b *Ledger) {
+	t.Helper()
+	a, b = New("a.1"), New("b.1")
+	recountAll(t, a, 10, b)
+	return a, b
+}
+
+// recountAll lets the first ledger count itself and the others.
+func recountAll(t *testing.T, initiator *Ledger, limit int, others ...*Ledger) {
+	t.Helper()
+	addresses := []string{initiator.Incarnation()}
+	for _, o := range others {
+		addresses = append(addresses, o.Incarnation())
+	}
+	q := initiator.BeginRecount(addresses, initiator.Incarnation())
+	for _, o := range others {
+		r, _, ok := o.Report(q)
+		assert.Assert(t, ok)
+		initiator.Counted(o.Incarnation(), r)
+	}
+	commit, ok := initiator.Finish([]TeamCount{NewTeamCount(team, limit)}, nil)
+	assert.Assert(t, ok)
+	for _, o := range others {
+		assert.Assert(t, o.Commit(commit))
+	}
+}
+
+func TestTransfers(t *testing.T) {
+	a, b := pair(t)
+	transfer, ok := a.Give(team, 4, b.Incarnation())
+	assert.Assert(t, ok)
+	later, ok := a.Give(team, 1, b.Incarnation())
+	assert.Assert(t, ok)
+	stranger := New("c.1")
+	scenarios := []struct {
+		testName string
+		receiver *Ledger
+		transfer Transfer
+		expected bool
+	}{
+		{"reordered: the later one first", b, later, true},
+		{"the earlier one", b, transfer, true},
+		{"repeated", b, transfer, false},
+		{"repeated later one", b, later, false},
+		{"another receiver", stranger, transfer, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			raw, err := json.Marshal(s.transfer)
+			assert.NilError(t, err)
+			var read Transfer
+			assert.NilError(t, json.Unmarshal(raw, &read))
+			assert.Equal(t, s.receiver.Accept(read), s.expected)
+		})
+	}
+	assert.Equal(t, a.Spare(team), 5)
+	assert.Equal(t, b.Spare(team), 5)
+	_, ok = a.Give(team, 6, b.Incarnation())
+	assert.Assert(t, !ok, "more than is spare")
+	_, ok = a.Give(team, 1, "c.1")
+	assert.Assert(t, !ok, "outside the roster")
+}
+
+func TestHandOver(t *testing.T) {
+	a, b := pair(t)
+	assert.Assert(t, a.Spend(team))
+	transfer, ok := a.HandOver(b.Incarnation())
+	assert.Assert(t, ok)
+	assert.Assert(t, b.Accept(transfer))
+	assert.Equal(t, b.Spare(team), 9)
+	assert.Assert(t, !a.Spend(team))
+	assert.Assert(t, a.Return(team))
+	assert.Assert(t, !a.Return(team), "nothing left to return")
+	rest, ok := a.HandOver(b.Incarnation())
+	assert.Assert(t, ok)
+	assert.Assert(t, b.Accept(rest))
+	assert.Equal(t, len(a.Teams()), 0)
+}
+
+func TestLoweredLimit(t *testing.T) {
+	scenarios := []struct {
+		testName  string
+		spent     int
+		by        int
+		spare     int
+		ends      int
+		spareThen int
+	}{
+		{"spare only", 2, 5, 3, 2, 5},
+		{"spare, then returning ones", 8, 5, -3, 4, 1},
+		{"to nothing", 10, 10, -10, 10, 0},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			a, b := pair(t)
+			for range s.spent {
+				assert.Assert(t, a.Spend(team))
+			}
+			a.Follow(1, nil)
+			a.Follow(2, []TeamCount{NewTeamCount(team, s.by)})
+			assert.Equal(t, a.Spare(team), s.spare)
+			_, ok := a.Give(team, 1, b.Incarnation())
+			assert.Assert(t, !ok, "no trade before the next recount")
+			for range s.ends {
+				assert.Assert(t, a.Return(team))
+			}
+			assert.Equal(t, a.Spare(team), s.spareThen)
+			b.Follow(2, []TeamCount{NewTeamCount(team, s.by)})
+			recountAll(t, b, 10-s.by, a)
+			assert.Equal(t, a.Spare(team)+a.Spent(team)+b.Spare(team), 10-s.by)
+		})
+	}
+}
+
+func TestRecountWaitsForTheSameViewOfTheLimits(t *testing.T) {
+	scenarios := []struct {
+		testName          string
+		initiator, member uint64
+		expected          bool
+	}{
+		{"the initiator has not folded the fall", 1, 2, false},
+		{"a member has not folded the fall", 2, 1, false},
+		{"both have", 2, 2, true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			a, b := pair(t)
+			for l, offset := range map[*Ledger]uint64{a: s.initiator, b: s.member} {
+				l.Follow(1, nil)
+				if offset == 2 {
+					l.Follow(2, []TeamCount{NewTeamCount(team, 5)})
+				}
+			}
+			q := a.BeginRecount([]string{"a", "b"}, "a")
+			r, _, ok := b.Report(q)
+			assert.Assert(t, ok)
+			a.Counted("b", r)
+			_, ok = a.Finish([]TeamCount{NewTeamCount(team, 5)}, nil)
+			assert.Equal(t, ok, s.expected)
+		})
+	}
+}
--- /dev/null
+++ b/core/rights/recount.go
@@ -0,0 +1,157 @@
+package rights
+
+import "slices"
+
+// recount is the initiator's side of one epoch.
+type recount struct {
+	epoch   Epoch
+	basis   uint64
+	missing map[string]bool
+	reports []Report
+}
+
+// BeginRecount takes a new epoch, counts this gate first and returns the question to every address but its own.
+// The addresses are all that the state at the folded offset declares for the data centre.
+func (l *Ledger) BeginRecount(addresses []string, own string) Query {
+	epoch := Epoch{epochWire{Number: max(l.highest, l.epoch.w.Number) + 1, Incarnation: l.incarnation}}
+	r := &recount{epoch: epoch, basis: l.folded, missing: map[string]bool{}}
+	for _, address := range addresses {
+		if address != own {
+			r.missing[address] = true
+		}
+	}
+	l.take(epoch, l.folded)
+	r.reports = append(r.reports, l.report())
+	l.recount = r
+	return Query{queryWire{Epoch: epoch, Basis: r.basis}}
+}
+
+// Report takes the question's epoch and returns what the gate holds; false with the gate's own epoch where that is not below.
+// From then on the gate neither gives nor accepts under an older epoch.
+func (l *Ledger) Report(q Query) (Report, Epoch, bool) {
+	if !q.w.Epoch.Above(l.epoch) {
+		return Report{}, l.epoch, false
+	}
+	l.take(q.w.Epoch, q.w.Basis)
+	return l.report(), l.epoch, true
+}
+
+// Refused notes the epoch with which a member refused to report and ends this gate's recount.
+func (l *Ledger) Refused(by Epoch) {
+	l.highest = max(l.highest, by.w.Number)
+	l.recount = nil
+}
+
+// Counted notes the report of the process that answers at the address.
+func (l *Ledger) Counted(address string, r Report) {
+	if !l.counting() || r.w.Epoch != l.epoch || !l.recount.missing[address] {
+		return
+	}
+	delete(l.recount.missing, address)
+	l.recount.reports = append(l.recount.reports, r)
+}
+
+// CountedGone notes certain evidence that no process holds rights at the address: its connection is refused, or the VM list dropped it.
+func (l *Ledger) CountedGone(address string) {
+	if l.counting() {
+		delete(l.recount.missing, address)
+	}
+}
+
+// Roll returns the incarnations counted so far, in order, and whether every address is counted.
+func (l *Ledger) Roll() ([]string, bool) {
+	if !l.counting() {
+		return nil, false
+	}
+	roll := make([]string, 0, len(l.recount.reports))
+	for _, r := range l.recount.reports {
+		roll = append(roll, r.w.Incarnation)
+	}
+	slices.Sort(roll)
+	return roll, len(l.recount.missing) == 0
+}
+
+// Finish adds to this gate's spare rights what of each allotment nobody reported and no orphan occupies.
+// The allotments are those of the state last followed; the orphans were asked for after the last report came in.
+// It returns false where an address is missing, a later epoch was taken, or a member's view of the limits differs.
+func (l *Ledger) Finish(allotments, orphans []TeamCount) (Commit, bool) {
+	roll, whole := l.Roll()
+	if !whole || !l.sameView() {
+		return Commit{}, false
+	}
+	occupied := l.occupied(orphans)
+	for _, c := range allotments {
+		if free := c.Count() - occupied[c.Team()]; free > 0 {
+			l.open(c.Team()).spare += free
+		}
+	}
+	commit := Commit{commitWire{Epoch: l.epoch, Basis: l.recount.basis, Roster: roll}}
+	l.recount = nil
+	l.Commit(commit)
+	return commit, true
+}
+
+// Commit opens trade among the counted incarnations; false where the epoch is not the last one taken.
+func (l *Ledger) Commit(c Commit) bool {
+	if c.w.Epoch != l.epoch {
+		return false
+	}
+	l.committed = c
+	for team := range l.accounts {
+		l.drop(team)
+	}
+	return true
+}
+
+// take makes the epoch the last one; transfers of older ones, repeats included, are refused from now on.
+func (l *Ledger) take(epoch Epoch, basis uint64) {
+	l.epoch = epoch
+	l.floor = max(l.floor, basis)
+	l.received = map[string]*window{}
+	if l.recount != nil && l.recount.epoch != epoch {
+		l.recount = nil
+	}
+}
+
+// report counts a debt as nothing: the work that has to end for it still runs.
+func (l *Ledger) report() Report {
+	w := reportWire{Epoch: l.epoch, Incarnation: l.incarnation, Folded: l.folded, Floor: l.floor}
+	for _, team := range l.Teams() {
+		a := l.accounts[team]
+		if held := max(a.spare, 0) + a.spent; held > 0 {
+			w.Held = append(w.Held, NewTeamCount(team, held))
+		}
+	}
+	return Report{w}
+}
+
+func (l *Ledger) counting() bool {
+	return l.recount != nil && l.recount.epoch == l.epoch
+}
+
+// sameView tells whether every counted member folded each lowering that another one acted on,
+// and the initiator all declarations that an earlier recount rested on.
+func (l *Ledger) sameView() bool {
+	if l.lowered > l.recount.basis {
+		return false
+	}
+	for _, r := range l.recount.reports {
+		if r.w.Folded < l.lowered || l.recount.basis < r.w.Floor {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *Ledger) occupied(orphans []TeamCount) map[string]int {
+	sum := map[string]int{}
+	for _, r := range l.recount.reports {
+		for _, c := range r.w.Held {
+			sum[c.Team()] += c.Count()
+		}
+	}
+	for _, c := range orphans {
+		sum[c.Team()] += c.Count()
+	}
+	return sum
+}
