Schedule a pool's slots by weighted fair queueing

A full pool needs one order of starts in which a large team can't starve a small one. Virtual time over observed slot-seconds, charged in short spans while an item runs and settled exactly at its end, so declared run times don't matter. A team gains nothing from idle time, and owes at most ten seconds of its own share. Within a team: urgent first, each other waiting class keeps a tenth of the service, background gains priority as slack shrinks.

--- /dev/null
+++ b/core/share/scheduler.go
@@ -0,0 +1,293 @@
+package share
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"mangowing/core/codes"
+	"mangowing/core/decl"
+)
+
+const (
+	// RetryDelay is how long a team that mayStart refused is not asked again.
+	RetryDelay = 5 * time.Millisecond
+
+	// Shortest and longest time that a running item is charged for in advance.
+	shortestCharge = 5 * time.Millisecond
+	longestCharge  = 500 * time.Millisecond
+	// Time of its own share by which a team may be ahead at most before more is forgiven, or behind at most.
+	memory = 10 * time.Second
+	// Time of its own share by which a team's urgent work may run ahead of other teams' work.
+	urgentLead = 500 * time.Millisecond
+	// Work that is expected to take longer than this runs long.
+	longRun = 8400 * time.Millisecond
+	// Part of the slots that work which runs long leaves free, so that urgent work finds a slot.
+	longReserve = 0.1
+	// Part of the expected run time that must be left before a deadline for an item not to be shed.
+	shedPart = 0.5
+)
+
+// Scheduler is weighted fair queueing by team over observed slot-seconds; the zero value works.
+type Scheduler struct {
+	teams        map[string]*team
+	nodes        map[string]*node // waiting and running, by id
+	ready        indexHeap[*team] // teams with waiting work that may be asked
+	urgent       indexHeap[*team] // those of them with urgent work waiting
+	shed         indexHeap[*node] // waiting items with a deadline
+	paid         indexHeap[*node] // running items by the time they are charged for
+	parked       []parking        // teams refused by mayStart, in order of their next try
+	awaitsShort  []*team          // waiting for work that runs long to end
+	virtual      float64
+	busyPeriod   uint64
+	activeWeight float64
+	waiting      int
+	running      int
+	runningLong  int
+	slots        int
+	sequence     uint64
+}
+
+// New returns an empty scheduler.
+func New() *Scheduler { return &Scheduler{} }
+
+func (s *Scheduler) prepare() {
+	if s.teams != nil {
+		return
+	}
+	s.teams = map[string]*team{}
+	s.nodes = map[string]*node{}
+	s.ready = indexHeap[*team]{less: virtualLess, place: func(t *team) *int { return &t.readyPlace }}
+	s.urgent = indexHeap[*team]{less: virtualLess, place: func(t *team) *int { return &t.urgentPlace }}
+	s.shed = indexHeap[*node]{less: shedLess, place: func(n *node) *int { return &n.shedPlace }}
+	s.paid = indexHeap[*node]{less: paidLess, place: func(n *node) *int { return &n.paidPlace }}
+}
+
+// SetSlots sets how many slots the dispatcher fills, 0 if that is not known.
+func (s *Scheduler) SetSlots(slots int) {
+	s.slots = slots
+	s.releaseShort()
+}
+
+// SetTeam sets a team's weight and how many of its items may wait; a value below 1 means the default.
+func (s *Scheduler) SetTeam(name string, weight, queueLength int) {
+	t := s.team(name)
+	t.weight = float64(max(weight, 1))
+	t.queueLength = defaultQueueLength
+	if queueLength > 0 {
+		t.queueLength = queueLength
+	}
+	s.updateActive(t)
+}
+
+func (s *Scheduler) team(name string) *team {
+	s.prepare()
+	t, ok := s.teams[name]
+	if !ok {
+		t = newTeam(name)
+		s.teams[name] = t
+	}
+	return t
+}
+
+// Add lets an item wait; it answers OK, QueueFull, DeadlineUnmeetable or, for an id that waits or runs, AlreadyClaimed.
+func (s *Scheduler) Add(item Item, now time.Time) codes.Code {
+	t := s.team(item.Team())
+	if _, known := s.nodes[item.ID()]; known {
+		return codes.AlreadyClaimed
+	}
+	if t.waiting >= t.queueLength {
+		return codes.QueueFull
+	}
+	if s.unmeetable(t, item, now) {
+		return codes.DeadlineUnmeetable
+	}
+	if item.spec.Arrived.IsZero() {
+		item.spec.Arrived = now
+	}
+	s.sequence++
+	s.enqueue(newNode(item, t, s.sequence))
+	return codes.OK
+}
+
+func (s *Scheduler) enqueue(n *node) {
+	t := n.team
+	if s.waiting == 0 {
+		s.busyPeriod++ // nobody waited, so nobody is owed anything
+	}
+	s.synchronize(t)
+	if t.waiting == 0 {
+		t.virtual = max(t.virtual, s.virtual)
+	}
+	s.nodes[n.item.ID()] = n
+	t.push(n)
+	s.waiting++
+	if d := n.item.Deadline(); !d.IsZero() {
+		n.shedAt = d.Add(-s.leastRun(n))
+		s.shed.push(n)
+	}
+	if t.awaitsShort && !t.runsLong(n) {
+		t.awaitsShort = false
+	}
+	s.updateActive(t)
+	s.updateReady(t)
+}
+
+// leastRun is the time that an item needs at least, as far as run times were observed.
+func (s *Scheduler) leastRun(n *node) time.Duration {
+	return leastRun(n.team.queue(n.item.Class()))
+}
+
+func leastRun(q *classQueue) time.Duration {
+	if q.observations < longestMemory {
+		return 0
+	}
+	return seconds(shedPart * q.meanSeconds)
+}
+
+// unmeetable estimates the wait from the team's work ahead and the slots that it has or is entitled to.
+func (s *Scheduler) unmeetable(t *team, item Item, now time.Time) bool {
+	if item.Deadline().IsZero() {
+		return false
+	}
+	ahead := t.queue(decl.Urgent).backlogSeconds()
+	if item.Class() != decl.Urgent {
+		ahead += t.queue(decl.Normal).backlogSeconds()
+	}
+	if item.Class() == decl.Patient || item.Class() == decl.Background {
+		ahead += t.queue(decl.Patient).backlogSeconds()
+	}
+	slots := max(s.entitledSlots(t), float64(t.running), 1)
+	wait := seconds(ahead / slots)
+	return now.Add(wait + leastRun(t.queue(item.Class()))).After(item.Deadline())
+}
+
+// Remove takes a waiting item out; it tells whether the item was waiting.
+func (s *Scheduler) Remove(id string) bool {
+	n, ok := s.nodes[id]
+	if !ok || !n.waiting() {
+		return false
+	}
+	s.dequeue(n)
+	delete(s.nodes, id)
+	return true
+}
+
+func (s *Scheduler) dequeue(n *node) {
+	n.team.remove(n)
+	s.shed.remove(n)
+	s.waiting--
+	s.updateActive(n.team)
+	s.updateReady(n.team)
+}
+
+// Expire takes out and returns the waiting items that can't meet their deadline any more.
+func (s *Scheduler) Expire(now time.Time) []Item {
+	var out []Item
+	for {
+		n, ok := s.shed.top()
+		if !ok || n.shedAt.After(now) {
+			return out
+		}
+		s.dequeue(n)
+		delete(s.nodes, n.item.ID())
+		out = append(out, n.item)
+	}
+}
+
+// Next takes out the item that starts now and charges its team; a nil mayStart allows every team.
+func (s *Scheduler) Next(now time.Time, mayStart func(team string) bool) (Item, bool) {
+	s.advance(now)
+	s.unpark(now)
+	for {
+		t, ok := s.leader()
+		if !ok {
+			return Item{}, false
+		}
+		n, ok := t.pick(now, s.entitledSlots(t), s.longFull())
+		if !ok {
+			s.awaitShort(t)
+			continue
+		}
+		if mayStart != nil && !mayStart(t.name) {
+			s.park(t, now)
+			continue
+		}
+		s.start(n, now)
+		return n.item, true
+	}
+}
+
+// leader returns the team with the least virtual time, or one with urgent work that is hardly ahead of it.
+func (s *Scheduler) leader() (*team, bool) {
+	least, ok := s.ready.top()
+	if !ok {
+		return nil, false
+	}
+	s.virtual = max(s.virtual, least.virtual)
+	if u, found := s.urgent.top(); found && u.virtual <= least.virtual+s.virtualOf(urgentLead) {
+		return u, true
+	}
+	return least, true
+}
+
+func (s *Scheduler) longFull() bool {
+	if s.slots == 0 {
+		return false
+	}
+	return float64(s.runningLong) >= (1-longReserve)*float64(s.slots)
+}
+
+func (s *Scheduler) start(n *node, now time.Time) {
+	t := n.team
+	n.long = t.runsLong(n)
+	s.dequeue(n)
+	s.run(n, now)
+}
+
+// Waiting returns the number of waiting items.
+func (s *Scheduler) Waiting() int { return s.waiting }
+
+// Running returns the number of running items.
+func (s *Scheduler) Running() int { return s.running }
+
+// TeamSnapshot is a team's state for metrics.
+type TeamSnapshot struct {
+	name    string
+	weight  float64
+	waiting int
+	running int
+	service float64
+	ahead   float64
+}
+
+// Name returns the team's name.
+func (t TeamSnapshot) Name() string { return t.name }
+
+// Weight returns the team's weight.
+func (t TeamSnapshot) Weight() float64 { return t.weight }
+
+// Waiting returns the number of waiting items.
+func (t TeamSnapshot) Waiting() int { return t.waiting }
+
+// Running returns the number of running items.
+func (t TeamSnapshot) Running() int { return t.running }
+
+// Service returns the slot-seconds charged by this scheduler.
+func (t TeamSnapshot) Service() float64 { return t.service }
+
+// Ahead returns the slot-seconds by which the team is ahead of its share, negative if behind.
+func (t TeamSnapshot) Ahead() float64 { return t.ahead }
+
+// Snapshot returns the teams with waiting or running work, by name.
+func (s *Scheduler) Snapshot() []TeamSnapshot {
+	var out []TeamSnapshot
+	for _, t := range s.teams {
+		if t.activeWeight > 0 {
+			ahead := (t.virtual - s.virtual) * t.weight
+			out = append(out, TeamSnapshot{t.name, t.weight, t.waiting, t.running, t.charged, ahead})
+		}
+	}
+	slices.SortFunc(out, func(a, b TeamSnapshot) int { return strings.Compare(a.name, b.name) })
+	return out
+}
