--- a/core/decl/compile.go
+++ b/core/decl/compile.go
@@ -107,6 +107,9 @@
 	r := newReader(o, c)
 	switch o.Kind() {
 	case KindFleet:
+		if first := c.cfg.fleet.name; first != "" {
+			c.fault(r.section, "", "fleet %s is declared already", first)
+		}
 		c.cfg.fleet = r.fleet(o.Name())
 	case KindPool:
 		c.cfg.pools[o.Name()] = r.pool(o.Name())
@@ -151,7 +154,9 @@
 }
 
 func (c *compiler) checkQueue(q Queue) {
-	c.needPool("queue "+q.name, "pool", q.pool)
+	if q.pool != "" {
+		c.needPool("queue "+q.name, "pool", q.pool)
+	}
 	for _, team := range q.teams {
 		if _, ok := c.cfg.teams[team]; !ok {
 			c.fault("queue "+q.name, "teams", "team %q is not declared", team)
--- a/core/decl/reader.go
+++ b/core/decl/reader.go
@@ -1,6 +1,7 @@
 package decl
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -97,7 +98,7 @@
 		return fallback
 	}
 	f, err := strconv.ParseFloat(v, 64)
-	if err != nil || f < 0 {
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) || f < 0 {
 		r.compiler.fault(r.section, key, "%q: expected a number of at least 0", v)
 	}
 	return f
--- /dev/null
+++ b/core/survey/survey_test.go
@@ -0,0 +1,163 @@
+package survey
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mangowing/core/decl"
+	"mangowing/core/record"
+)
+
+const declared = `[pool quotes]
+vms = q-[1-2]
+
+[pool pours]
+vms = p-[1-2]
+
+[team hand]
+organisation = house
+share = 1
+limit = 4
+
+[queue quotes]
+pool = quotes
+length = 50
+teams = hand
+
+[wave all]
+pools = quotes, pours
+freeze = 01:00-02:00
+`
+
+func answersOf(team string, pairs ...string) Answers {
+	a := NewAnswers(team).With(Organisation, "guild").With(Limit, "8")
+	for i := 0; i < len(pairs); i += 2 {
+		a = a.With(pairs[i], pairs[i+1])
+	}
+	return a
+}
+
+func TestRegenerate(t *testing.T) {
+	buyers := answersOf("buyers", Work, "quotes", Freeze, "04:00-05:00")
+	pourers := answersOf("pourers", Work, "batches on pours", LatestFinish, "03:00")
+	scenarios := []struct {
+		testName      string
+		before, after []Answers
+		expected      []string
+		absent        []string
+	}{
+		{
+			"a new team joins a declared queue, keeps its other members and its length, and adds its freeze window",
+			nil,
+			[]Answers{buyers},
+			[]string{"[team buyers]", "length = 50\nteams = buyers, hand", "freeze = 01:00-02:00, 04:00-05:00"},
+			nil,
+		},
+		{
+			"a queue named for the first time is declared on the answered pool",
+			nil,
+			[]Answers{pourers},
+			[]string{"[queue batches]\npool = pours\nteams = pourers", "latest-finish = 03:00"},
+			[]string{"freeze = 01:00-02:00,"},
+		},
+		{
+			"changed work moves the team from one queue to another and withdraws its window with it",
+			[]Answers{buyers},
+			[]Answers{buyers.With(Work, "batches on pours").With(Freeze, "")},
+			[]string{"teams = hand", "[queue batches]\npool = pours\nteams = buyers"},
+			[]string{"04:00-05:00"},
+		},
+		{
+			"the last team's leaving removes the queue instead of opening it to all",
+			[]Answers{pourers},
+			nil,
+			[]string{"[team hand]"},
+			[]string{"[queue batches]", "[team pourers]"},
+		},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			start, err := decl.ReadINI([]byte(declared))
+			assert.NilError(t, err)
+			start, err = Regenerate(start, nil, s.before)
+			assert.NilError(t, err)
+			objects, err := Regenerate(start, s.before, s.after)
+			assert.NilError(t, err)
+			_, faults := decl.Compile(objects)
+			assert.Equal(t, len(faults), 0, "%v", faults)
+			text := string(decl.WriteINI(objects))
+			for _, part := range s.expected {
+				assert.Assert(t, strings.Contains(text, part), "%s\nlacks\n%s", text, part)
+			}
+			for _, part := range s.absent {
+				assert.Assert(t, !strings.Contains(text, part), "%s\nhas\n%s", text, part)
+			}
+		})
+	}
+}
+
+func TestQueueWithoutListStaysOpenToAllTeams(t *testing.T) {
+	start := []record.Object{record.NewObject(decl.KindQueue, "any", 0).With("pool", "quotes")}
+	objects, err := Regenerate(start, nil, []Answers{answersOf("buyers", Work, "any")})
+	assert.NilError(t, err)
+	assert.Equal(t, string(decl.WriteINI(objects[:1])), "[queue any]\npool = quotes\n")
+}
+
+func TestTeamsMustAgreeOnAQueuesPool(t *testing.T) {
+	_, err := Regenerate(nil, nil, []Answers{answersOf("a", Work, "q on one"), answersOf("b", Work, "q on two")})
+	assert.Error(t, err, "[answers b] work: queue q is on pool one in the answers of team a")
+}
+
+func TestParseListsEveryFault(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		text     string
+		expected []string
+	}{
+		{"no section", "", []string{"expected one section [answers TEAM]"}},
+		{"other section", "[team a]\nshare = 1\n", []string{"expected one section [answers TEAM]"}},
+		{
+			"wrong values",
+			"[answers a]\norganisation = o\nwork = q\nshare = 0\nlimit = -1\nurgency = now\npatience = long\nidempotent = maybe\nlatest-finish = 25:00\nfreeze = noon\n",
+			[]string{
+				`share: "0": expected a whole number of at least 1`, `limit: "-1": expected a whole number of at least 0`,
+				"urgency: \"now\": expected one of urgent", "patience: \"long\": expected a duration", "idempotent: \"maybe\": expected yes or no",
+				"latest-finish: \"25:00\": expected a time of day", "freeze: \"noon\": expected spans",
+			},
+		},
+		{"missing", "[answers a]\nwork = q\n", []string{"organisation: \"\"", "limit: \"\""}},
+		{"unknown key", "[answers a]\norganisation = o\nwork = q\nlimit = 1\npatiense = 3s\n", []string{`patiense: unknown key; the nearest known one is "patience"`}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			_, err := Parse([]byte(s.text))
+			for _, part := range s.expected {
+				assert.ErrorContains(t, err, part)
+			}
+		})
+	}
+}
+
+func TestAnswersSurviveEncoding(t *testing.T) {
+	a := answersOf("buyers", Work, "quotes on quotes", Freeze, "04:00-05:00", Idempotent, "yes")
+	b, err := Parse(a.Encode())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, string(b.Encode()), string(a.Encode()))
+}
+
+func TestDeploymentsFollowFromTheirAnswers(t *testing.T) {
+	for _, deployment := range []string{"../../deploy/vlnka", "../../deploy/hessian"} {
+		objects, err := decl.ReadDirectory(deployment)
+		assert.NilError(t, err)
+		answers, err := ReadAll(deployment)
+		assert.NilError(t, err)
+		again, err := Regenerate(objects, answers, answers)
+		assert.NilError(t, err)
+		assert.Equal(t, string(decl.WriteINI(again)), string(decl.WriteINI(objects)), deployment)
+		cfg, faults := decl.Compile(objects)
+		assert.Equal(t, len(faults), 0, "%v", faults)
+		assert.Equal(t, len(cfg.Pools()), 5)
+	}
+}
