Route to the least loaded worker and eject those that fail everything

A worker that fails at once looks idle, so least loaded alone would send it the whole pool's work. Its streak of failures is compared with the other workers' failure rate, so that failing jobs or a pool that is down eject none; a bounded part is ejected and comes back by single probes. Retries are a part of the first tries. A job is blamed only by workers that are still healthy, so that a worker found bad later takes its blame back.

A test with every second request failing ejected three workers: requests and workers alternated in step, so these workers had failed everything; the test now fails requests by hash.

--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,168 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mangowing/core/route"
+)
+
+var origin = time.Date(2027, 3, 1, 0, 0, 0, 0, time.UTC)
+
+func pool(options route.Options, n int) *route.Balancer {
+	b := route.New(options)
+	var targets []route.Target
+	for i := range n {
+		name := fmt.Sprintf("w%d", i)
+		targets = append(targets, route.NewTarget(name, name+":80", 2, 64))
+	}
+	b.SetTargets(targets)
+	return b
+}
+
+func pick(t *testing.T, b *route.Balancer, now time.Time, exclude ...string) string {
+	t.Helper()
+	target, ok := b.Pick(now, func(name string) bool {
+		return len(exclude) > 0 && exclude[0] == name
+	})
+	if !ok {
+		return ""
+	}
+	b.Started(target.Name())
+	return target.Name()
+}
+
+func TestPickIsLeastLoaded(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		prepare  func(b *route.Balancer)
+		expected []string
+	}{
+		{"in turn when idle", func(*route.Balancer) {}, []string{"w0", "w1", "w2", "w0", "w1", "w2", ""}},
+		{"reported load counts", func(b *route.Balancer) { b.ReportLoad("w0", 1, origin) }, []string{"w1", "w2", "w0", "w1", "w2", ""}},
+		{
+			"a refusal delays",
+			func(b *route.Balancer) { b.Started("w1"); b.Ended("w1", route.Refused, 0, origin) },
+			[]string{"w0", "w2", "w0", "w2", ""},
+		},
+		{
+			"an unreached worker is delayed",
+			func(b *route.Balancer) { b.Started("w2"); b.Ended("w2", route.Unreached, 0, origin) },
+			[]string{"w0", "w1", "w0", "w1", ""},
+		},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			b := pool(route.Options{}, 3)
+			sc.prepare(b)
+			for _, want := range sc.expected {
+				assert.Equal(t, pick(t, b, origin), want)
+			}
+		})
+	}
+}
+
+func TestExcludedWorkerIsNotPicked(t *testing.T) {
+	b := pool(route.Options{}, 2)
+	assert.Equal(t, pick(t, b, origin, "w0"), "w1")
+	assert.Equal(t, pick(t, b, origin, "w0"), "w1")
+	assert.Equal(t, pick(t, b, origin, "w0"), "")
+}
+
+// run sends requests one after another and returns how many each worker got.
+func run(b *route.Balancer, from time.Time, n int, fails func(worker string, i int) bool) (map[string]int, time.Time) {
+	got := map[string]int{}
+	now := from
+	for i := range n {
+		now = now.Add(100 * time.Millisecond)
+		target, ok := b.Pick(now, nil)
+		if !ok {
+			continue
+		}
+		got[target.Name()]++
+		b.Started(target.Name())
+		result := route.Good
+		if fails(target.Name(), i) {
+			result = route.Failed
+		}
+		b.Ended(target.Name(), result, time.Second, now)
+	}
+	return got, now
+}
+
+func TestEjection(t *testing.T) {
+	always := func(string, int) bool { return true }
+	onlyW0 := func(worker string, _ int) bool { return worker == "w0" }
+	manyJobs := func(_ string, i int) bool { return xxhash.Sum64String(fmt.Sprint(i))%2 == 0 }
+	scenarios := []struct {
+		testName string
+		percent  int
+		fails    func(string, int) bool
+		ejected  int
+	}{
+		{"a worker that fails everything", 30, onlyW0, 1},
+		{"no ejection when switched off", 0, onlyW0, 0},
+		{"a pool that fails everything keeps its workers", 30, always, 0},
+		{"failing jobs on all workers eject none", 30, manyJobs, 0},
+		{"at most the percentage", 30, func(w string, _ int) bool { return w < "w5" }, 3},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.testName, func(t *testing.T) {
+			b := pool(route.Options{EjectedPercent: sc.percent}, 10)
+			_, now := run(b, origin, 300, sc.fails)
+			n := 0
+			for _, target := range b.Snapshot(now) {
+				if target.Ejected() {
+					n++
+				}
+			}
+			assert.Equal(t, n, sc.ejected)
+		})
+	}
+}
+
+func TestProbesBackSlowly(t *testing.T) {
+	b := pool(route.Options{EjectedPercent: 30}, 10)
+	onlyW0 := func(worker string, _ int) bool { return worker == "w0" }
+	got, now := run(b, origin, 6000, onlyW0) // 10 minutes
+	assert.Assert(t, got["w0"] <= 10, "failing worker got %d of 6000", got["w0"])
+	_, now = run(b, now, 4000, func(string, int) bool { return false })
+	assert.Assert(t, b.Healthy("w0"))
+	got, _ = run(b, now, 1000, func(string, int) bool { return false })
+	assert.Equal(t, got["w0"], 100)
+}
+
+func TestBudgetBoundsRetries(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		percent := rapid.IntRange(0, 20).Draw(rt, "percent")
+		b := route.NewBudget(percent)
+		first, retries := 0, 0
+		for _, deposit := range rapid.SliceOfN(rapid.Bool(), 0, 500).Draw(rt, "deposits") {
+			if deposit {
+				b.Deposit()
+				first++
+			} else if b.Withdraw() {
+				retries++
+			}
+			assert.Assert(rt, 100*(retries-3) <= percent*first)
+		}
+	})
+}
+
+func TestBlame(t *testing.T) {
+	var blame route.Blame
+	all := func(string) bool { return true }
+	assert.Assert(t, !blame.Failed("j", "w0", all))
+	assert.Assert(t, !blame.Failed("j", "w0", all))
+	assert.Assert(t, !blame.Failed("j", "w1", all))
+	assert.Assert(t, !blame.Failed("j", "w2", func(w string) bool { return w != "w1" }))
+	assert.Assert(t, blame.FailedOn("j", "w2"))
+	assert.Assert(t, blame.Failed("j", "w3", func(w string) bool { return w != "w1" }))
+	blame.Forget("j")
+	assert.Assert(t, !blame.FailedOn("j", "w2"))
+}
