Add the stand-in of the platform and its workers

`stand serve` is one process: the log (streams, offsets, retention by age and number, long polls), the lagging VM list with versions, reboot, reassign and fence (once per request id, generation checked), and a listener per VM whose work goes on when its connection closes. Faults are switched by `stand fault`; `/counts` tells starts per work and request, the most running per team, starts at leaving VMs and in two pools.

An outage closes connections without an answer rather than answering 503, since a client then can't know whether its call took effect. Speed: not measured.

--- a/stand/main.go
+++ b/stand/main.go
@@ -1,4 +1,40 @@
-// Command stand is one of mangowing's programs; see README.md.
+// Command stand is a small stand-in of the platform and its workers, with a load and a benchmark; see README.md.
 package main
 
-func main() {}
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+)
+
+const (
+	exitFailed     = 1
+	exitBadSetting = 2
+)
+
+// errFound ends a command whose report was printed already and tells of something wrong.
+var errFound = errors.New("something was found wrong")
+
+func main() {
+	root := &cobra.Command{
+		Use:           "stand",
+		Short:         "A small stand-in of the platform and its workers",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	root.AddCommand(serveCommand(), faultCommand())
+	err := root.Execute()
+	if err == nil {
+		return
+	}
+	if !errors.Is(err, errFound) {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	var bad *settingError
+	if errors.As(err, &bad) {
+		os.Exit(exitBadSetting)
+	}
+	os.Exit(exitFailed)
+}
--- /dev/null
+++ b/stand/serve/stand.go
@@ -0,0 +1,191 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/rotisserie/eris"
+	"github.com/thejerf/suture/v4"
+
+	"mangowing/core/decl"
+	"mangowing/core/timer"
+	"mangowing/stand/count"
+	"mangowing/stand/fleet"
+	"mangowing/stand/store"
+	"mangowing/stand/worker"
+)
+
+const (
+	host       = "127.0.0.1"
+	tickPeriod = 20 * time.Millisecond
+	vmsToARack = 4
+)
+
+// Stand is the whole stand-in.
+type Stand struct {
+	settings *Settings
+	board    *count.Board
+	log      *store.Log
+	fleet    *fleet.Fleet
+}
+
+// New returns a stand whose VMs come from the deployment's declarations.
+func New(settings *Settings) (*Stand, error) {
+	objects, err := decl.ReadDirectory(settings.directory)
+	if err != nil {
+		return nil, eris.Wrap(err, "[deployment] directory")
+	}
+	cfg, faults := decl.Compile(objects)
+	if len(faults) > 0 {
+		return nil, eris.Errorf("[deployment] directory: %s: %s", settings.directory, faults[0])
+	}
+	board := count.NewBoard(poolsOfQueues(cfg))
+	s := &Stand{
+		settings: settings,
+		board:    board,
+		log:      store.NewLog(settings.store),
+		fleet:    fleet.New(settings.fleet, board),
+	}
+	for _, spec := range place(cfg, settings) {
+		s.fleet.Add(spec, worker.New(worker.Config{
+			Name:        spec.Name,
+			Address:     spec.Address,
+			Slots:       spec.Slots,
+			Connections: spec.Connections,
+			UsageLag:    settings.usageLag,
+		}, board))
+	}
+	return s, nil
+}
+
+func poolsOfQueues(cfg *decl.Config) map[string]string {
+	out := map[string]string{}
+	for _, name := range cfg.Queues() {
+		queue, _ := cfg.Queue(name)
+		out[name] = queue.Pool()
+	}
+	return out
+}
+
+// place puts the declared VMs into the data centres that their names start with, the others into all by turns, four to
+// a rack, each with its own port.
+func place(cfg *decl.Config, settings *Settings) []fleet.VMSpec {
+	var out []fleet.VMSpec
+	placed := map[string]int{}
+	for n, vm := range declaredVMs(cfg) {
+		dataCentre := dataCentreOf(vm, n, cfg.Fleet().DataCentres())
+		rack := fmt.Sprintf("%s-rack-%d", dataCentre, placed[dataCentre]/vmsToARack+1)
+		placed[dataCentre]++
+		out = append(out, fleet.VMSpec{
+			Name:         vm,
+			Address:      net.JoinHostPort(host, strconv.Itoa(settings.firstPort+n)),
+			DataCentre:   dataCentre,
+			Rack:         rack,
+			Cores:        settings.cores,
+			MemoryGB:     settings.memoryGB,
+			Accelerators: settings.accelerators,
+			Slots:        settings.slots,
+			Connections:  settings.connections,
+			Pool:         cfg.Home(vm),
+		})
+	}
+	return out
+}
+
+func declaredVMs(cfg *decl.Config) []string {
+	var out []string
+	for _, name := range cfg.Pools() {
+		pool, _ := cfg.Pool(name)
+		out = append(out, pool.VMs()...)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func dataCentreOf(vm string, n int, dataCentres []string) string {
+	for _, name := range dataCentres {
+		if strings.HasPrefix(vm, name+"-") {
+			return name
+		}
+	}
+	return dataCentres[n%len(dataCentres)]
+}
+
+// Run serves until the context ends.
+func (s *Stand) Run(ctx context.Context) error {
+	if err := s.fleet.Open(); err != nil {
+		return err
+	}
+	defer s.fleet.Close()
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.settings.address)
+	if err != nil {
+		return eris.Wrap(err, "[platform] address")
+	}
+	timers := &timer.Service{}
+	supervisor := suture.NewSimple("stand")
+	supervisor.Add(timers)
+	supervisor.Add(&ticker{s, timers})
+	supervisor.Add(&platform{listener, s.Handler()})
+	err = supervisor.Serve(ctx)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// Handler returns the platform's calls, the fault switches and the counts.
+func (s *Stand) Handler() http.Handler {
+	router := mux.NewRouter()
+	s.log.Register(router)
+	s.fleet.Register(router)
+	router.HandleFunc("/faults", s.handleFault).Methods(http.MethodPost)
+	router.HandleFunc("/counts", s.handleCounts).Methods(http.MethodGet)
+	return router
+}
+
+// ticker drives the parts of the stand that change with time.
+type ticker struct {
+	stand  *Stand
+	timers *timer.Service
+}
+
+// Serve ticks until the context ends.
+func (t *ticker) Serve(ctx context.Context) error {
+	ticks := t.timers.Every(tickPeriod)
+	defer ticks.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticks.C():
+			t.stand.fleet.Tick(now)
+			t.stand.log.Expire(now)
+		}
+	}
+}
+
+// platform serves the platform's HTTP calls.
+type platform struct {
+	listener net.Listener
+	handler  http.Handler
+}
+
+// Serve answers calls until the context ends.
+func (p *platform) Serve(ctx context.Context) error {
+	server := &http.Server{Handler: p.handler}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err := server.Serve(p.listener)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return errors.Join(err, suture.ErrTerminateSupervisorTree)
+}
--- /dev/null
+++ b/stand/serve_command.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"k8s.io/klog/v2"
+
+	"mangowing/core/logs"
+	"mangowing/stand/serve"
+)
+
+// settingError is a fault in the settings or in what they name.
+type settingError struct {
+	cause error
+}
+
+// Error returns the cause's text.
+func (e *settingError) Error() string { return e.cause.Error() }
+
+func serveCommand() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:     "serve",
+		Short:   "Serve the platform, one worker for each declared VM, fault switches and counts",
+		Example: "  stand serve --settings run/stand.ini",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			settings := serve.DefaultSettings()
+			if err := settings.Bind().Load(file); err != nil {
+				return &settingError{err}
+			}
+			stand, err := serve.New(settings)
+			if err != nil {
+				return &settingError{err}
+			}
+			logs.Setup(os.Stderr, "stand", 0)
+			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			klog.InfoS("started")
+			return stand.Run(ctx)
+		},
+	}
+	cmd.Flags().StringVar(&file, "settings", "stand.ini", "the settings file")
+	return cmd
+}
--- /dev/null
+++ b/stand/store/doc.go
@@ -0,0 +1,2 @@
+// Package store is the stand's append-only log: streams with offsets, retention by age and number, and fault switches.
+package store
--- /dev/null
+++ b/stand/store/handler.go
@@ -0,0 +1,123 @@
+package store
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+const (
+	maxEntryBytes = 16 << 20
+	maxWait       = time.Minute
+	defaultLimit  = 1000
+)
+
+type appendAnswer struct {
+	Offset uint64 `json:"offset"`
+}
+
+type pageAnswer struct {
+	Oldest  uint64      `json:"oldest"`
+	Next    uint64      `json:"next"`
+	Entries []entryWire `json:"entries"`
+}
+
+type entryWire struct {
+	Offset uint64 `json:"offset"`
+	AtMs   int64  `json:"at-ms"`
+	Data   string `json:"data"`
+}
+
+// Register adds the log's calls to a router.
+func (l *Log) Register(router *mux.Router) {
+	router.HandleFunc("/log/{stream}/append", l.handleAppend).Methods(http.MethodPost)
+	router.HandleFunc("/log/{stream}/read", l.handleRead).Methods(http.MethodGet)
+}
+
+// failOrSlow aborts the connection while the log is down, and delays the call by the slow fault.
+func (l *Log) failOrSlow() {
+	f := l.currentFaults()
+	if f.down {
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(f.slow)
+	if l.currentFaults().down {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (l *Log) handleAppend(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxEntryBytes))
+	if err != nil {
+		http.Error(w, "entry too large or cut", http.StatusRequestEntityTooLarge)
+		return
+	}
+	time.Sleep(l.cfg.AppendLatency)
+	l.failOrSlow()
+	offset := l.append(mux.Vars(r)["stream"], string(data), time.Now())
+	if l.loseAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, appendAnswer{offset})
+}
+
+func (l *Log) handleRead(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, err := strconv.ParseUint(query.Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from: expected an offset", http.StatusBadRequest)
+		return
+	}
+	limit := positive(query.Get("max"), defaultLimit)
+	wait := min(time.Duration(positive(query.Get("wait-ms"), 0))*time.Millisecond, maxWait)
+	l.failOrSlow()
+	p := l.await(r, mux.Vars(r)["stream"], from, limit, wait)
+	if l.currentFaults().down {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, p.wire())
+}
+
+// await returns a page as soon as there is an entry, or an empty one when the wait or the request ends.
+func (l *Log) await(r *http.Request, name string, from uint64, limit int, wait time.Duration) page {
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		p, changed := l.read(name, from, limit)
+		if len(p.entries) > 0 || l.currentFaults().down {
+			return p
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			return p
+		case <-r.Context().Done():
+			return p
+		}
+	}
+}
+
+func (p page) wire() pageAnswer {
+	out := pageAnswer{Oldest: p.oldest, Next: p.next, Entries: make([]entryWire, 0, len(p.entries))}
+	for i, e := range p.entries {
+		out.Entries = append(out.Entries, entryWire{p.first + uint64(i), e.at.UnixMilli(), e.data})
+	}
+	return out
+}
+
+func positive(text string, fallback int) int {
+	n, err := strconv.Atoi(text)
+	if err != nil || n <= 0 {
+		return fallback
+	}
+	return n
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
