Walk the rights ledger at random and show each slip break it

Cause: the limit has to hold in any interleaving of deaths, replacements, lost, repeated and reordered messages, and of falls of the limit that gates fold at different times.

--- a/core/rights/ledger.go
+++ b/core/rights/ledger.go
@@ -11,7 +11,7 @@
 	accounts    map[string]*account
 	folded      uint64
 	followed    bool
-	lowered     uint64
+	changed     uint64
 	floor       uint64
 	epoch       Epoch
 	highest     uint64
@@ -25,7 +25,7 @@
 type account struct {
 	spare     int
 	spent     int
-	loweredAt uint64
+	changedAt uint64
 }
 
 // New returns the empty ledger of a gate incarnation.
@@ -42,9 +42,10 @@
 // Roster returns the incarnations counted in the last committed recount, in order.
 func (l *Ledger) Roster() []string { return l.committed.w.Roster }
 
-// Trading tells whether transfers flow: the last epoch taken is committed and this incarnation was counted in it.
+// Trading tells whether transfers flow: the last epoch taken is committed, this incarnation was counted in it,
+// and the gate has folded the state that the recount rests on.
 func (l *Ledger) Trading() bool {
-	return l.epoch.Number() > 0 && l.epoch == l.committed.w.Epoch && l.inRoster(l.incarnation)
+	return l.epoch == l.committed.w.Epoch && l.inRoster(l.incarnation) && l.folded >= l.committed.w.Basis
 }
 
 // Spare returns the team's rights free to spend; negative while a lowered limit's running work has to end.
@@ -122,20 +123,20 @@
 	return true
 }
 
-// Follow notes that the gate folded the log up to the offset, where the teams' allotments fell by the given counts.
-// Spare rights are burned first and returning ones later; every gate burns the whole fall, the next recount mends that.
-// The first call names the state that the gate starts from, which may hide any fall before it.
-func (l *Ledger) Follow(offset uint64, lowered []TeamCount) {
+// Follow notes that the gate folded the log up to the offset, where the teams' allotments changed and fell by the given counts,
+// 0 for one that did not fall. Spare rights are burned first and returning ones later; every gate burns the whole fall,
+// and the next recount mends that. The first call names the state that the gate starts from, which may hide changes before it.
+func (l *Ledger) Follow(offset uint64, changed []TeamCount) {
 	l.folded = max(l.folded, offset)
-	if l.followed && len(lowered) == 0 {
+	if l.followed && len(changed) == 0 {
 		return
 	}
 	l.followed = true
-	l.lowered = l.folded
+	l.changed = l.folded
 	l.floor = max(l.floor, l.folded)
-	for _, c := range lowered {
+	for _, c := range changed {
 		a := l.open(c.Team())
-		a.loweredAt = l.folded
+		a.changedAt = l.folded
 		a.spare = max(a.spare-c.Count(), -a.spent)
 	}
 }
@@ -152,9 +153,9 @@
 	return Transfer{transferWire{From: l.incarnation, Seq: l.sequence, To: to, Epoch: l.epoch, Rights: given}}
 }
 
-// frozen tells whether the team's limit fell after the last recount began: trading could then evade the burning.
+// frozen tells whether the team's allotment changed after the last recount began: trading could then evade the burning.
 func (l *Ledger) frozen(team string) bool {
-	return l.view(team).loweredAt > l.committed.w.Basis
+	return l.view(team).changedAt > l.committed.w.Basis
 }
 
 func (l *Ledger) tradesWith(peer string) bool {
--- a/core/rights/recount.go
+++ b/core/rights/recount.go
@@ -129,14 +129,14 @@
 	return l.recount != nil && l.recount.epoch == l.epoch
 }
 
-// sameView tells whether every counted member folded each lowering that another one acted on,
-// and the initiator all declarations that an earlier recount rested on.
+// sameView tells whether every counted member folded each change of a limit that another one acted on,
+// and the initiator, when it began, all declarations that an earlier recount rested on.
 func (l *Ledger) sameView() bool {
-	if l.lowered > l.recount.basis {
+	if l.changed > l.recount.basis {
 		return false
 	}
 	for _, r := range l.recount.reports {
-		if r.w.Folded < l.lowered || l.recount.basis < r.w.Floor {
+		if r.w.Folded < l.changed || l.recount.basis < r.w.Floor {
 			return false
 		}
 	}
--- /dev/null
+++ b/core/rights/walk_harness_test.go
@@ -0,0 +1,409 @@
+package rights
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+)
+
+// slip names a mistake that the walk's own copy of a protocol step makes.
+type slip string
+
+const (
+	noSlip           slip = "as designed"
+	ownCountLast     slip = "own count taken last"
+	noRefusal        slip = "no refusal of lower epochs"
+	noCancel         slip = "no cancelling by a later epoch"
+	deadForgotten    slip = "work of dead gates forgotten"
+	noEpochOnGift    slip = "no epoch on transfers"
+	noRoster         slip = "no roster"
+	noFreeze         slip = "no freeze during a recount"
+	noSequence       slip = "transfers added twice"
+	noBurn           slip = "lowered limit not burned"
+	noViewCheck      slip = "recount on another view of the limits"
+	tradeAfterChange slip = "trade across a change of the limit"
+	silenceIsDeath   slip = "silence taken for death"
+)
+
+const (
+	walkTeam    = "paint"
+	walkMembers = 3
+)
+
+// walk is a random interleaving of everything that may befall the gates of one data centre.
+type walk struct {
+	r          *rand.Rand
+	slip       slip
+	limits     []int // by offset of the log, from 1
+	mayRelimit bool
+	deaths     float64   // share of the steps of a gate that end it
+	members    []*walker // nil where the address refuses connections
+	born       int
+	orphans    int
+	network    []any
+	mints      int
+	maxUsed    int
+}
+
+// walker is one incarnation and the part of its service that the walk plays.
+type walker struct {
+	ledger    *Ledger
+	address   int
+	addresses []string
+	asked     []string
+	query     Query
+	own       Epoch // the epoch held before a recount whose own count is taken last
+}
+
+type commitTo struct {
+	commit  Commit
+	address int
+}
+
+func newWalk(seed uint64, s slip, mayRelimit bool) *walk {
+	w := &walk{r: rand.New(rand.NewPCG(seed, 7)), slip: s, mayRelimit: mayRelimit, deaths: 0.03}
+	if seed%2 == 1 {
+		w.deaths = 0.12
+	}
+	w.limits = []int{0, 1 + w.r.IntN(6)}
+	for address := range walkMembers {
+		w.members = append(w.members, w.spawn(address))
+	}
+	return w
+}
+
+func (w *walk) spawn(address int) *walker {
+	w.born++
+	m := &walker{ledger: New(fmt.Sprintf("gate-%d.%03d", address, w.born)), address: address}
+	m.ledger.Follow(uint64(len(w.limits)-1), nil)
+	return m
+}
+
+func (w *walk) step() {
+	if w.r.Float64() < 0.002 {
+		w.loseAll()
+	}
+	address := w.r.IntN(walkMembers)
+	m := w.members[address]
+	op := w.r.Float64()
+	if m == nil {
+		if op < 0.3 {
+			w.members[address] = w.spawn(address)
+		}
+		return
+	}
+	switch {
+	case op < 0.15:
+		m.ledger.Spend(walkTeam)
+	case op < 0.27:
+		m.ledger.Return(walkTeam)
+	case op < 0.40:
+		w.give(m)
+	case op < 0.40+w.deaths:
+		w.kill(address)
+	case op < 0.53:
+		w.orphans = max(0, w.orphans-1)
+	case op < 0.55 && w.mayRelimit:
+		w.limits = append(w.limits, w.r.IntN(7))
+	case op < 0.60:
+		w.follow(m)
+	case op < 0.85:
+		w.recountStep(m)
+	case len(w.network) > 0:
+		i := w.r.IntN(len(w.network))
+		message := w.network[i]
+		w.network = slices.Delete(w.network, i, i+1)
+		if w.r.Float64() > 0.2 {
+			w.deliver(message)
+		}
+	}
+}
+
+// kill ends a process; its work goes on for a while.
+func (w *walk) kill(address int) {
+	w.orphans += w.members[address].ledger.Spent(walkTeam)
+	w.members[address] = nil
+}
+
+func (w *walk) loseAll() {
+	for address, m := range w.members {
+		if m != nil {
+			w.kill(address)
+		}
+	}
+}
+
+// follow lets a member fold on, often past several changes at once.
+func (w *walk) follow(m *walker) {
+	from := int(m.ledger.Folded())
+	if from == len(w.limits)-1 {
+		return
+	}
+	to := from + 1 + w.r.IntN(len(w.limits)-1-from)
+	fall := max(0, w.limits[from]-w.limits[to])
+	changed := []TeamCount{NewTeamCount(walkTeam, fall)}
+	if w.slip == noBurn {
+		changed = []TeamCount{NewTeamCount(walkTeam, 0)}
+	}
+	m.ledger.Follow(uint64(to), changed)
+	if w.slip == tradeAfterChange {
+		m.ledger.open(walkTeam).changedAt = 0
+	}
+}
+
+func (w *walk) give(m *walker) {
+	peer := w.members[w.r.IntN(walkMembers)]
+	spare := m.ledger.Spare(walkTeam)
+	if peer == nil || spare < 1 {
+		return
+	}
+	kept := m.ledger.committed
+	w.loosen(m.ledger, peer.ledger.Incarnation())
+	t, ok := m.ledger.Give(walkTeam, 1+w.r.IntN(spare), peer.ledger.Incarnation())
+	m.ledger.committed = kept
+	if !ok {
+		return
+	}
+	w.network = append(w.network, t)
+	if w.r.Float64() < 0.3 {
+		w.network = append(w.network, t)
+	}
+}
+
+// loosen removes the guard on transfers that the slip leaves out.
+func (w *walk) loosen(l *Ledger, peer string) {
+	recounting := l.epoch != l.committed.w.Epoch
+	if w.slip == noEpochOnGift || w.slip == noRoster || w.slip == noFreeze && recounting {
+		l.committed.w.Roster = sortedRoster(l.committed.w.Roster, l.incarnation, peer)
+	}
+	if w.slip == noEpochOnGift || w.slip == noFreeze {
+		l.committed.w.Epoch = l.epoch
+	}
+}
+
+func sortedRoster(roster []string, more ...string) []string {
+	roster = append(slices.Clone(roster), more...)
+	slices.Sort(roster)
+	return slices.Compact(roster)
+}
+
+func (w *walk) deliver(message any) {
+	switch message := message.(type) {
+	case commitTo:
+		m := w.members[message.address]
+		if m == nil {
+			return
+		}
+		if w.slip == noRoster && message.commit.Epoch().Above(m.ledger.epoch) {
+			m.ledger.take(message.commit.Epoch(), 0)
+		}
+		m.ledger.Commit(message.commit)
+	case Transfer:
+		for _, m := range w.members {
+			if m != nil && m.ledger.Incarnation() == message.To() {
+				w.accept(m.ledger, message)
+			}
+		}
+	}
+}
+
+func (w *walk) accept(l *Ledger, t Transfer) {
+	kept := l.committed
+	w.loosen(l, t.From())
+	switch w.slip {
+	case noEpochOnGift:
+		t.w.Epoch = l.epoch
+	case noSequence:
+		l.received = map[string]*window{}
+	}
+	l.Accept(t)
+	l.committed = kept
+}
+
+func (w *walk) recountStep(m *walker) {
+	if len(m.addresses) == 0 {
+		w.begin(m)
+		return
+	}
+	if len(m.asked) < len(m.addresses) {
+		w.ask(m)
+		return
+	}
+	w.finish(m)
+	m.addresses, m.asked = nil, nil
+}
+
+func (w *walk) begin(m *walker) {
+	m.asked = nil
+	m.addresses = m.addresses[:0]
+	for i := range walkMembers {
+		if i != m.address {
+			m.addresses = append(m.addresses, fmt.Sprint(i))
+		}
+	}
+	w.r.Shuffle(len(m.addresses), func(i, j int) {
+		m.addresses[i], m.addresses[j] = m.addresses[j], m.addresses[i]
+	})
+	m.own = m.ledger.epoch
+	m.query = m.ledger.BeginRecount(append([]string{fmt.Sprint(m.address)}, m.addresses...), fmt.Sprint(m.address))
+	if w.slip == ownCountLast {
+		m.ledger.epoch = m.own
+	}
+}
+
+func (w *walk) ask(m *walker) {
+	address := m.addresses[len(m.asked)]
+	peer := w.members[int(address[0]-'0')]
+	silent := w.r.Float64() < 0.1
+	if silent && w.slip != silenceIsDeath {
+		return
+	}
+	m.asked = append(m.asked, address)
+	kept := m.ledger.epoch
+	if w.slip == ownCountLast || w.slip == noCancel {
+		if m.ledger.recount == nil {
+			m.addresses, m.asked = nil, nil
+			return
+		}
+		m.ledger.epoch = m.ledger.recount.epoch
+	}
+	defer func() {
+		if w.slip == ownCountLast || w.slip == noCancel {
+			m.ledger.epoch = kept
+		}
+	}()
+	if peer == nil || silent {
+		m.ledger.CountedGone(address)
+		return
+	}
+	w.report(m, peer, address)
+}
+
+func (w *walk) report(m, peer *walker, address string) {
+	held := peer.ledger.epoch
+	counting := peer.ledger.recount
+	if w.slip == noRefusal {
+		peer.ledger.epoch = Epoch{}
+	}
+	r, epoch, ok := peer.ledger.Report(m.query)
+	if w.slip == noRefusal && held.Above(m.query.Epoch()) {
+		peer.ledger.epoch = held
+	}
+	if w.slip == noRefusal || w.slip == noCancel {
+		peer.ledger.recount = counting
+	}
+	if !ok {
+		m.ledger.Refused(epoch)
+		m.addresses, m.asked = nil, nil
+		return
+	}
+	m.ledger.Counted(address, r)
+}
+
+func (w *walk) finish(m *walker) {
+	l := m.ledger
+	if l.recount == nil {
+		return
+	}
+	kept := l.epoch
+	switch w.slip {
+	case ownCountLast:
+		if l.epoch.Above(l.recount.epoch) {
+			return
+		}
+		l.epoch = l.recount.epoch
+		l.received = map[string]*window{}
+		own := l.report()
+		l.recount.reports[0] = own
+	case noCancel:
+		l.epoch = l.recount.epoch
+	case noViewCheck:
+		l.recount.basis = max(l.recount.basis, l.changed)
+		for i := range l.recount.reports {
+			l.recount.reports[i].w.Folded, l.recount.reports[i].w.Floor = l.changed, 0
+		}
+	}
+	var orphans []TeamCount
+	if w.slip != deadForgotten {
+		orphans = []TeamCount{NewTeamCount(walkTeam, w.orphans)}
+	}
+	before := l.Spare(walkTeam)
+	commit, ok := l.Finish([]TeamCount{NewTeamCount(walkTeam, w.limits[l.Folded()])}, orphans)
+	if w.slip == noCancel && kept.Above(l.epoch) {
+		l.epoch = kept
+	}
+	if !ok {
+		return
+	}
+	if l.Spare(walkTeam) > before {
+		w.mints++
+	}
+	for address := range walkMembers {
+		if address != m.address {
+			w.network = append(w.network, commitTo{commit, address})
+		}
+	}
+}
+
+// check returns how the property is broken, empty while it holds: with a start still possible anywhere,
+// running work and spare rights together are within the highest limit that some gate has not folded past.
+func (w *walk) check() string {
+	used, spare, oldest := w.orphans, 0, len(w.limits)-1
+	for _, m := range w.members {
+		if m == nil {
+			continue
+		}
+		used += m.ledger.Spent(walkTeam)
+		spare += max(0, m.ledger.Spare(walkTeam))
+		oldest = min(oldest, int(m.ledger.Folded()))
+	}
+	limit := slices.Max(w.limits[oldest:])
+	w.maxUsed = max(w.maxUsed, used)
+	if spare > 0 && used+spare > limit {
+		return fmt.Sprintf("running %d, spare %d, limit %d", used, spare, limit)
+	}
+	return ""
+}
+
+// settle ends all work and deaths, lets every gate fold on, and recounts once with nothing lost.
+func (w *walk) settle() (usable, limit int) {
+	w.network, w.orphans = nil, 0
+	limit = w.limits[len(w.limits)-1]
+	for address, m := range w.members {
+		if m == nil {
+			w.members[address] = w.spawn(address)
+			continue
+		}
+		for m.ledger.Return(walkTeam) {
+		}
+		for int(m.ledger.Folded()) < len(w.limits)-1 {
+			w.follow(m)
+		}
+	}
+	for usableRecounts := 0; usableRecounts < 20 && usable < limit; usableRecounts++ {
+		m := w.members[0]
+		m.addresses = nil
+		for {
+			w.recountStep(m)
+			if len(m.addresses) == 0 {
+				break
+			}
+		}
+		usable = 0
+		for _, m := range w.members {
+			usable += max(0, m.ledger.Spare(walkTeam))
+		}
+	}
+	return usable, limit
+}
+
+// run walks and returns the first breach.
+func (w *walk) run(steps int) string {
+	for i := range steps {
+		w.step()
+		if breach := w.check(); breach != "" {
+			return fmt.Sprintf("step %d: %s", i, breach)
+		}
+	}
+	return ""
+}
