--- a/stand/fleet/fleet.go
+++ b/stand/fleet/fleet.go
@@ -17,6 +17,7 @@
 // Machine is what the fleet starts and ends with its VMs.
 type Machine interface {
 	Open() error
+	Address() string
 	Close()
 	Tick(now time.Time)
 	SetFault(name string, value int) bool
@@ -25,7 +26,6 @@
 // VMSpec is what a VM consists of.
 type VMSpec struct {
 	Name         string // the VM's name
-	Address      string // host and port of its worker
 	DataCentre   string // the data centre's name
 	Rack         string // the rack's name
 	Cores        int    // processor cores
@@ -82,13 +82,12 @@
 	}
 }
 
-// Add puts a VM into the fleet; it shows in the list at once.
+// Add puts a VM into the fleet; it shows in the list once the fleet is open.
 func (f *Fleet) Add(s VMSpec, machine Machine) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	v := &vm{machine: machine, row: vmWire{
 		Name:         s.Name,
-		Address:      s.Address,
 		DataCentre:   s.DataCentre,
 		Rack:         s.Rack,
 		Generation:   1,
@@ -103,7 +102,6 @@
 	f.vms[s.Name] = v
 	f.order = append(f.order, s.Name)
 	f.board.SetPool(s.Name, s.Pool)
-	f.note(v, time.Time{})
 }
 
 // Open starts every VM's machine.
@@ -111,9 +109,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, name := range f.order {
-		if err := f.vms[name].machine.Open(); err != nil {
+		v := f.vms[name]
+		if err := v.machine.Open(); err != nil {
 			return err
 		}
+		v.row.Address = v.machine.Address()
+		f.note(v, time.Time{})
 	}
 	f.publish(time.Now())
 	return nil
--- a/stand/serve/settings.go
+++ b/stand/serve/settings.go
@@ -46,7 +46,7 @@
 	var set config.Set
 	set.Address("platform", "address", &s.address, "where the platform listens")
 	set.Text("deployment", "directory", &s.directory, "the directory of declarations that names pools and VMs")
-	set.Int("workers", "first-port", &s.firstPort, 1024, 60_000, "the first worker's port; the others follow")
+	set.Int("workers", "first-port", &s.firstPort, 0, 60_000, "the first worker's port, the others follow; 0: any free ports")
 	set.Int("workers", "slots", &s.slots, 1, 10_000, "requests that a worker runs at once")
 	set.Int("workers", "connections", &s.connections, 1, 100_000, "connections that a worker has open at once")
 	set.Int("workers", "cores", &s.cores, 1, 4096, "a worker's processor cores")
--- a/stand/serve/stand.go
+++ b/stand/serve/stand.go
@@ -15,6 +15,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/thejerf/suture/v4"
 
+	"k8s.io/klog/v2"
+
 	"mangowing/core/decl"
 	"mangowing/core/timer"
 	"mangowing/stand/count"
@@ -54,10 +56,10 @@
 		log:      store.NewLog(settings.store),
 		fleet:    fleet.New(settings.fleet, board),
 	}
-	for _, spec := range place(cfg, settings) {
+	for n, spec := range place(cfg, settings) {
 		s.fleet.Add(spec, worker.New(worker.Config{
 			Name:        spec.Name,
-			Address:     spec.Address,
+			Address:     workerAddress(settings.firstPort, n),
 			Slots:       spec.Slots,
 			Connections: spec.Connections,
 			UsageLag:    settings.usageLag,
@@ -75,8 +77,15 @@
 	return out
 }
 
+func workerAddress(firstPort, n int) string {
+	if firstPort == 0 {
+		return net.JoinHostPort(host, "0")
+	}
+	return net.JoinHostPort(host, strconv.Itoa(firstPort+n))
+}
+
 // place puts the declared VMs into the data centres that their names start with, the others into all by turns, four to
-// a rack, each with its own port.
+// a rack.
 func place(cfg *decl.Config, settings *Settings) []fleet.VMSpec {
 	var out []fleet.VMSpec
 	placed := map[string]int{}
@@ -86,7 +95,6 @@
 		placed[dataCentre]++
 		out = append(out, fleet.VMSpec{
 			Name:         vm,
-			Address:      net.JoinHostPort(host, strconv.Itoa(settings.firstPort+n)),
 			DataCentre:   dataCentre,
 			Rack:         rack,
 			Cores:        settings.cores,
@@ -129,6 +137,7 @@
 	if err != nil {
 		return eris.Wrap(err, "[platform] address")
 	}
+	klog.InfoS("started", "platform", listener.Addr().String())
 	timers := &timer.Service{}
 	supervisor := suture.NewSimple("stand")
 	supervisor.Add(timers)
--- a/stand/serve_command.go
+++ b/stand/serve_command.go
@@ -6,7 +6,6 @@
 	"syscall"
 
 	"github.com/spf13/cobra"
-	"k8s.io/klog/v2"
 
 	"mangowing/core/logs"
 	"mangowing/stand/serve"
@@ -39,7 +38,6 @@
 			logs.Setup(os.Stderr, "stand", 0)
 			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
-			klog.InfoS("started")
 			return stand.Run(ctx)
 		},
 	}
--- a/stand/worker/run_handler.go
+++ b/stand/worker/run_handler.go
@@ -186,6 +186,7 @@
 	}
 	if f.short {
 		_, _ = w.Write(body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = w.Write(body)
--- a/stand/worker/worker.go
+++ b/stand/worker/worker.go
@@ -22,7 +22,7 @@
 // Config is what a worker consists of.
 type Config struct {
 	Name        string        // the VM's name
-	Address     string        // host and port to listen at
+	Address     string        // host and port to listen at, any free port for port 0
 	Slots       int           // requests and tasks that run at once at most
 	Connections int           // connections open at once at most
 	UsageLag    time.Duration // how old reports of usage are at most
@@ -92,6 +92,13 @@
 // Name returns the VM's name.
 func (w *Worker) Name() string { return w.cfg.Name }
 
+// Address returns host and port; the port is known once the worker was open.
+func (w *Worker) Address() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cfg.Address
+}
+
 // Open starts to listen with nothing remembered; it does nothing for an open worker.
 func (w *Worker) Open() error {
 	w.mu.Lock()
@@ -103,6 +110,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "worker %s", w.cfg.Name)
 	}
+	w.cfg.Address = listener.Addr().String()
 	l := newLife()
 	l.server = &http.Server{Handler: w.router(l), ConnState: l.noteConn, IdleTimeout: idleTimeout}
 	w.life = l
