--- a/core/event/ring.go
+++ b/core/event/ring.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"sync"
 )
 
@@ -63,7 +64,7 @@
 	if e.w.Stamp <= f.Since && f.Since != 0 {
 		return false
 	}
-	if f.Request != "" && e.w.Request != f.Request {
+	if f.Request != "" && !aboutRequest(e.w.Request, f.Request) {
 		return false
 	}
 	if f.Team != "" && e.w.Team != f.Team {
@@ -72,6 +73,11 @@
 	return f.VM == "" || e.w.VM == f.VM
 }
 
+// aboutRequest also matches the attempts of a request, whose ids are the request's and a suffix.
+func aboutRequest(id, request string) bool {
+	return id == request || strings.HasPrefix(id, request+".")
+}
+
 const defaultKept = 20_000
 
 // Ring keeps the last events of a process.
--- /dev/null
+++ b/gate/daemon/admin/doc.go
@@ -0,0 +1,2 @@
+// Package admin serves the operators' interface.
+package admin
--- /dev/null
+++ b/gate/daemon/admin/record_helper.go
@@ -0,0 +1,137 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"mangowing/core/codes"
+	"mangowing/core/event"
+	"mangowing/core/record"
+	"mangowing/gate/daemon/peers"
+	"mangowing/gate/daemon/state"
+)
+
+const (
+	methodInForce  = "state/in-force"
+	acceptTimeout  = 10 * time.Second
+	inForceTimeout = 8 * time.Second
+)
+
+type recordAnswerWire struct {
+	ID          string   `json:"id"`
+	Code        uint16   `json:"code"`
+	Name        string   `json:"name"`
+	Outcome     string   `json:"outcome"`
+	Detail      string   `json:"detail,omitempty"`
+	Faults      []string `json:"faults,omitempty"`
+	Revision    uint64   `json:"revision"`
+	Offset      uint64   `json:"offset"`
+	InForce     int      `json:"in-force"`
+	Gates       int      `json:"gates"`
+	SlowestGate string   `json:"slowest-gate,omitempty"`
+	SlowestMs   int64    `json:"slowest-ms"`
+}
+
+type inForceWire struct {
+	Offset uint64 `json:"offset"`
+	WaitMs int64  `json:"wait-ms"`
+}
+
+type inForceAnswerWire struct {
+	Offset uint64 `json:"offset"`
+}
+
+// author is who writes a record under which id; a repeat of a call uses the same id.
+type author struct {
+	ID string `json:"id"`
+	By string `json:"by"`
+}
+
+func (s *Server) recordOf(a author, body record.Body) record.Record {
+	by := a.By
+	if by == "" {
+		by = "operator"
+	}
+	if a.ID == "" {
+		return record.New(by, s.deps.Process.NowMs(), body)
+	}
+	return record.NewWithID(a.ID, by, s.deps.Process.NowMs(), body)
+}
+
+// commit appends the record and answers once it is folded here and every gate that can be reached has it.
+func (s *Server) commit(w http.ResponseWriter, r *http.Request, rec record.Record, kind string, about event.About) {
+	begun := time.Now()
+	ctx, cancel := context.WithTimeout(r.Context(), acceptTimeout)
+	defer cancel()
+	placed, err := s.deps.Control.AppendPlaced(ctx, []record.Record{rec})
+	if err != nil {
+		s.answerUnsure(w, rec)
+		return
+	}
+	answer := s.verdictAnswer(rec, placed[0])
+	about.Code = answer.Code
+	s.deps.Process.Events().Add(kind, about)
+	klog.InfoS(kind, "record", rec.ID(), "by", rec.By(), "code", answer.Code, "offset", answer.Offset)
+	if codes.Code(answer.Code) == codes.OK {
+		s.awaitGates(r.Context(), begun, &answer)
+	}
+	writeJSON(w, codes.Code(answer.Code).Entry().Status(), answer)
+}
+
+// answerUnsure says that a record may still come into force: its append may have taken effect.
+func (s *Server) answerUnsure(w http.ResponseWriter, rec record.Record) {
+	code := codes.NotYetInForce
+	detail := "the platform's log did not answer; repeat the call with the same id"
+	writeJSON(w, code.Entry().Status(), recordAnswerWire{
+		ID: rec.ID(), Code: uint16(code), Name: code.Entry().Name(), Outcome: codes.Unknown.String(), Detail: detail,
+	})
+}
+
+func (s *Server) verdictAnswer(rec record.Record, p state.Placed) recordAnswerWire {
+	v := p.Verdict()
+	return recordAnswerWire{
+		ID: rec.ID(), Code: uint16(v.Code()), Name: v.Code().Entry().Name(), Outcome: v.Code().Entry().Outcome().String(),
+		Detail: v.Detail(), Faults: v.Faults(), Revision: s.deps.Control.State().Revision(), Offset: p.Offset(),
+	}
+}
+
+// awaitGates counts the gates that have the offset in force and notes the slowest.
+func (s *Server) awaitGates(ctx context.Context, begun time.Time, answer *recordAnswerWire) {
+	view := s.deps.Members.View()
+	answer.Gates = len(view.Members())
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, m := range view.Members() {
+		wg.Go(func() {
+			if !s.inForceAt(ctx, view, m, answer.Offset) {
+				return
+			}
+			took := time.Since(begun).Milliseconds()
+			mu.Lock()
+			defer mu.Unlock()
+			answer.InForce++
+			if took >= answer.SlowestMs {
+				answer.SlowestGate, answer.SlowestMs = m.Name(), took
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (s *Server) inForceAt(ctx context.Context, view *peers.View, m peers.Member, offset uint64) bool {
+	if m.Self() {
+		return s.deps.Control.AwaitOffset(ctx, offset, inForceTimeout)
+	}
+	if !view.Reachable(m) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, inForceTimeout)
+	defer cancel()
+	var there inForceAnswerWire
+	err := s.deps.Peers.Call(ctx, m.Address(), methodInForce, inForceWire{offset, inForceTimeout.Milliseconds()}, &there)
+	return err == nil && there.Offset >= offset
+}
--- /dev/null
+++ b/gate/daemon/admin/server.go
@@ -0,0 +1,201 @@
+package admin
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"crypto/tls"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gorilla/mux"
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"mangowing/core/codes"
+	"mangowing/core/fold"
+	"mangowing/core/proc"
+	"mangowing/core/record"
+	"mangowing/gate/daemon/peers"
+	"mangowing/gate/daemon/queue"
+	"mangowing/gate/daemon/state"
+	"mangowing/gate/daemon/vmlist"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	maxBodyBytes      = 8 << 20
+	bearer            = "Bearer "
+)
+
+// Control is what the server needs of the gate's control state.
+type Control interface {
+	State() *fold.State
+	StalenessMs() int64
+	LogReachable() bool
+	Withdraw(ctx context.Context, hash string)
+	Withdrawn(hash string) bool
+	AppendPlaced(ctx context.Context, records []record.Record) ([]state.Placed, error)
+	AwaitOffset(ctx context.Context, offset uint64, wait time.Duration) bool
+}
+
+// Members is where the server reads the membership view.
+type Members interface {
+	View() *peers.View
+}
+
+// Peers is what the server needs of the other gates.
+type Peers interface {
+	Call(ctx context.Context, address, method string, params, result any) error
+	Handle(method string, h peers.Handler)
+}
+
+// Loads is where the server reads the load of the pools that this gate dispatches.
+type Loads interface {
+	Load(pool string) (queue.PoolLoad, bool)
+}
+
+// Rights is where the server reads what this gate holds of each team's limit.
+type Rights interface {
+	Held(team string) (spent, spare int)
+}
+
+// Platform takes the calls on VMs that operators make.
+type Platform interface {
+	Fence(ctx context.Context, vm string, generation uint64, requestID string) error
+}
+
+// Lists is where the server reads the VM list.
+type Lists interface {
+	List() *vmlist.List
+}
+
+// Deps are the parts that the server works with.
+type Deps struct {
+	Process   *proc.Process // the process
+	Control   Control       // the gate's control state
+	Members   Members       // the membership view
+	Peers     Peers         // calls between gates
+	Loads     Loads         // the pools' load
+	Rights    Rights        // the teams' rights
+	Platform  Platform      // calls on VMs
+	Lists     Lists         // the VM list
+	Address   string        // IP number and port
+	KeyHashes []string      // hex SHA-256 hashes of the operators' keys
+	TLS       *tls.Config   // nil for a listener in the clear
+}
+
+// Server answers operators.
+type Server struct {
+	deps Deps
+	http *http.Server
+}
+
+// New returns the server.
+func New(d Deps) *Server {
+	s := &Server{deps: d}
+	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: readHeaderTimeout}
+	d.Peers.Handle(methodLoad, s.answerLoad)
+	d.Peers.Handle(methodEvents, s.answerEvents)
+	return s
+}
+
+func (s *Server) routes() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/metrics", s.metrics).Methods(http.MethodGet)
+	ops := r.PathPrefix("/ops/v1").Subrouter()
+	ops.Use(s.authorize)
+	ops.HandleFunc("/objects", s.objects).Methods(http.MethodGet)
+	ops.HandleFunc("/changes", s.change).Methods(http.MethodPost)
+	ops.HandleFunc("/history", s.history).Methods(http.MethodGet)
+	ops.HandleFunc("/keys", s.keys).Methods(http.MethodGet)
+	ops.HandleFunc("/keys", s.grantKey).Methods(http.MethodPost)
+	ops.HandleFunc("/keys/withdraw", s.withdrawKey).Methods(http.MethodPost)
+	ops.HandleFunc("/status", s.status).Methods(http.MethodGet)
+	ops.HandleFunc("/events", s.events).Methods(http.MethodGet)
+	ops.HandleFunc("/moves", s.move).Methods(http.MethodPost)
+	ops.HandleFunc("/vms/{vm}/fence", s.fence).Methods(http.MethodPost)
+	ops.HandleFunc("/waves", s.waves).Methods(http.MethodGet)
+	ops.HandleFunc("/waves/{wave}/{step:start|pause|resume|cancel}", s.stepWave).Methods(http.MethodPost)
+	return r
+}
+
+// Serve accepts operators until the context ends.
+func (s *Server) Serve(ctx context.Context) error {
+	listener, err := s.listen()
+	if err != nil {
+		return eris.Wrap(err, "listen for operators")
+	}
+	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
+	defer stop()
+	err = s.http.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return ctx.Err()
+	}
+	return eris.Wrap(err, "serve operators")
+}
+
+func (s *Server) listen() (net.Listener, error) {
+	if s.deps.TLS != nil {
+		return tls.Listen("tcp", s.deps.Address, s.deps.TLS)
+	}
+	return net.Listen("tcp", s.deps.Address)
+}
+
+func (s *Server) authorize(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		key, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearer)
+		if !ok || !s.known(key) {
+			fail(w, codes.Errorf(codes.OperatorUnknown, ""))
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// known compares with every hash in constant time.
+func (s *Server) known(key string) bool {
+	sum := sha256.Sum256([]byte(key))
+	hash := []byte(hex.EncodeToString(sum[:]))
+	found := 0
+	for _, h := range s.deps.KeyHashes {
+		found |= subtle.ConstantTimeCompare(hash, []byte(strings.ToLower(h)))
+	}
+	return found == 1
+}
+
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+	metrics.WritePrometheus(w, true)
+}
+
+func readJSON(r *http.Request, into any) error {
+	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
+		return codes.Errorf(codes.MalformedRequest, "expected JSON as docs/API.md gives it")
+	}
+	return nil
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if err := json.NewEncoder(w).Encode(body); err != nil {
+		klog.V(1).InfoS("operator-answer-failed", "error", err.Error())
+	}
+}
+
+func fail(w http.ResponseWriter, err error) {
+	code := codes.Of(err)
+	answer := recordAnswerWire{Code: uint16(code), Name: code.Entry().Name(), Outcome: code.Entry().Outcome().String()}
+	var coded *codes.Error
+	if errors.As(err, &coded) {
+		answer.Detail = coded.Detail()
+	}
+	writeJSON(w, code.Entry().Status(), answer)
+}
--- /dev/null
+++ b/gate/daemon/assemble.go
@@ -0,0 +1,169 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+	"github.com/thejerf/suture/v4"
+	"k8s.io/klog/v2"
+
+	"mangowing/core/fold"
+	"mangowing/core/proc"
+	"mangowing/gate/daemon/admin"
+	"mangowing/gate/daemon/caller"
+	"mangowing/gate/daemon/peers"
+	"mangowing/gate/daemon/queue"
+	"mangowing/gate/daemon/relay"
+	"mangowing/gate/daemon/state"
+	"mangowing/gate/daemon/vmlist"
+	"mangowing/gate/plat"
+)
+
+// gate is the assembled process.
+type gate struct {
+	settings *Settings
+	process  *proc.Process
+	network  *peers.Network
+	members  *peers.Membership
+	control  *state.Service
+	vms      *vmlist.Service
+	queues   *queue.Service
+	callers  *caller.Server
+	admin    *admin.Server
+	stopping atomic.Bool
+}
+
+// assemble builds every part; nothing listens or runs yet.
+func assemble(settings *Settings, members []peers.Member) (*gate, error) {
+	tlsConfig, err := loadTLS(settings)
+	if err != nil {
+		return nil, err
+	}
+	g := &gate{settings: settings, process: proc.New(settings.name)}
+	g.network = peers.NewNetwork(settings.peerAddress, tlsConfig)
+	platform := plat.NewClient(settings.platform)
+	g.control = state.New(g.process, platform, g.network, state.Options{
+		AppendGroup: settings.appendGroup, SnapshotEvery: settings.snapshotEvery, SnapshotAge: settings.snapshotAge,
+	})
+	g.members = peers.NewMembership(g.process, g.network, members, settings.heartbeat, g.facts)
+	g.control.SetView(g.members.View)
+	g.vms = vmlist.New(g.process, platform, g.network, g.members.View, settings.vmPoll)
+	rights := &localRights{control: g.control, dataCentre: settings.dataCentre}
+	g.queues = queue.New(queue.Deps{
+		Process: g.process, States: g.control, Lists: g.vms, Members: g.members, Peers: g.network,
+		Workers: plat.NewWorkers(), Rights: rights, ReportLag: settings.reportLag,
+	})
+	runner := relay.NewRunner(g.process, g.queues, relay.NewUpstreams(), settings.retryPercent)
+	g.callers = caller.New(g.process, g.control, runner, nil, g.ready, caller.Options{
+		Address: settings.callerAddress, MaxBodyBytes: settings.maxBodyBytes,
+	})
+	g.admin = admin.New(admin.Deps{
+		Process: g.process, Control: g.control, Members: g.members, Peers: g.network, Loads: g.queues, Rights: rights,
+		Platform: platform, Lists: g.vms, Address: settings.operatorAddress, KeyHashes: settings.operatorHashes, TLS: tlsConfig,
+	})
+	g.connect()
+	return g, nil
+}
+
+// connect lets the parts notice each other's changes.
+func (g *gate) connect() {
+	g.control.OnChange(func(*fold.State) { g.queues.Wake() })
+	g.vms.OnChange(func(*vmlist.List) { g.queues.Wake() })
+	g.members.OnChange(func(*peers.View) { g.queues.Wake() })
+	g.members.OnBeat(g.control.HearBeat)
+}
+
+func (g *gate) facts() peers.Facts {
+	st := g.control.State()
+	return peers.Facts{
+		Offset: st.Offset(), Digest: st.Digest(), StalenessMs: g.control.StalenessMs(),
+		Ready: g.control.Synced(), Stopping: g.stopping.Load(), Withdrawn: g.control.WithdrawnDigest(),
+	}
+}
+
+// ready tells the balancer whether to send work.
+func (g *gate) ready() bool {
+	return g.control.Synced() && g.vms.List().Len() > 0 && !g.stopping.Load()
+}
+
+// run starts the supervisor tree and returns when the context ends.
+func (g *gate) run(ctx context.Context) error {
+	klog.InfoS("gate-starting", "incarnation", g.process.Incarnation(), "data-centre", g.settings.dataCentre)
+	tree := supervisor("gate")
+	tree.Add(named("timers", g.process.Timers().Serve))
+	tree.Add(g.controlTree())
+	tree.Add(g.trafficTree())
+	tree.Add(named("admin", g.admin.Serve))
+	err := tree.Serve(ctx)
+	klog.InfoS("gate-ended", "incarnation", g.process.Incarnation())
+	return err
+}
+
+func (g *gate) controlTree() *suture.Supervisor {
+	tree := supervisor("control")
+	tree.Add(named("fold", g.control.Serve))
+	tree.Add(named("feed", g.control.Feed))
+	tree.Add(named("write", g.control.Write))
+	tree.Add(named("withdrawals", g.control.PersistWithdrawals))
+	tree.Add(named("snapshots", g.control.WriteSnapshots))
+	tree.Add(named("peers", g.network.Serve))
+	tree.Add(named("heartbeat", g.members.Serve))
+	tree.Add(named("vm-list", g.vms.Serve))
+	return tree
+}
+
+func (g *gate) trafficTree() *suture.Supervisor {
+	tree := supervisor("traffic")
+	tree.Add(named("queues", g.queues.Serve))
+	tree.Add(named("callers", g.callers.Serve))
+	return tree
+}
+
+func supervisor(name string) *suture.Supervisor {
+	return suture.New(name, suture.Spec{EventHook: func(e suture.Event) {
+		klog.InfoS("supervisor-event", "supervisor", name, "event", e.String())
+	}})
+}
+
+// service is one leaf of the supervisor tree.
+type service struct {
+	name  string
+	serve func(context.Context) error
+}
+
+func named(name string, serve func(context.Context) error) service { return service{name, serve} }
+
+// Serve runs the leaf.
+func (s service) Serve(ctx context.Context) error { return s.serve(ctx) }
+
+// String returns the leaf's name for the supervisor's messages.
+func (s service) String() string { return s.name }
+
+func loadTLS(s *Settings) (*tls.Config, error) {
+	if s.certificate == "" {
+		return nil, nil
+	}
+	pair, err := tls.LoadX509KeyPair(s.certificate, s.certificateKey)
+	if err != nil {
+		return nil, eris.Wrap(err, "[tls] certificate")
+	}
+	pem, err := os.ReadFile(s.authority)
+	if err != nil {
+		return nil, eris.Wrap(err, "[tls] authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, eris.New("[tls] authority: no certificate in the file")
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{pair},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}, nil
+}
--- /dev/null
+++ b/gate/daemon/caller/admission_helper.go
@@ -0,0 +1,111 @@
+package caller
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"time"
+
+	"mangowing/core/codes"
+	"mangowing/core/decl"
+)
+
+const (
+	headerTicket         = "Mango-Ticket"
+	headerIdempotencyKey = "Idempotency-Key"
+	headerTimeout        = "Mango-Timeout"
+
+	bearer       = "Bearer "
+	mostTimeout  = 24 * time.Hour
+	dayLength    = 24 * time.Hour
+	leastTimeout = time.Millisecond
+)
+
+// admitted is a caller's request after key and queue were checked.
+type admitted struct {
+	team    decl.Team
+	queue   decl.Queue
+	timeout time.Duration
+}
+
+// admit finds the team by the key that came with the request and checks that it may use the queue.
+func (s *Server) admit(r *http.Request, queueName string) (admitted, error) {
+	cfg := s.states.State().Config()
+	queue, ok := cfg.Queue(queueName)
+	if !ok {
+		return admitted{}, codes.Errorf(codes.QueueUnknown, "queue %q", shorten(queueName))
+	}
+	name, err := s.teamOf(r, queue)
+	if err != nil {
+		return admitted{}, err
+	}
+	team, ok := cfg.Team(name)
+	if !ok {
+		return admitted{}, codes.Errorf(codes.TeamNotAllowed, "the key's team is no longer declared")
+	}
+	if !queue.Allows(name) {
+		return admitted{}, codes.Errorf(codes.TeamNotAllowed, "team %q on queue %q", name, queue.Name())
+	}
+	timeout, err := timeoutOf(r, team)
+	return admitted{team, queue, timeout}, err
+}
+
+func (s *Server) teamOf(r *http.Request, queue decl.Queue) (string, error) {
+	header := r.Header.Get("Authorization")
+	if header == "" && queue.Open() {
+		return decl.OpenTeam, nil
+	}
+	return s.teamOfKey(header)
+}
+
+// teamOfKey looks the key up by its hash, which reveals nothing by its timing that helps to guess a key.
+func (s *Server) teamOfKey(header string) (string, error) {
+	key, ok := strings.CutPrefix(header, bearer)
+	if !ok || key == "" {
+		return "", codes.Errorf(codes.KeyMissing, "")
+	}
+	sum := sha256.Sum256([]byte(key))
+	hash := hex.EncodeToString(sum[:])
+	if s.states.Withdrawn(hash) {
+		return "", codes.Errorf(codes.KeyWithdrawn, "")
+	}
+	known, ok := s.states.State().Key(hash)
+	if !ok {
+		return "", codes.Errorf(codes.KeyUnknown, "")
+	}
+	return known.Team(), nil
+}
+
+func timeoutOf(r *http.Request, team decl.Team) (time.Duration, error) {
+	text := r.Header.Get(headerTimeout)
+	if text == "" {
+		return team.Timeout(), nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d < leastTimeout || d > mostTimeout {
+		return 0, codes.Errorf(codes.MalformedRequest, "%s: expected a duration from %s to %s", headerTimeout, leastTimeout, mostTimeout)
+	}
+	return d, nil
+}
+
+// latestFinish returns the next moment at which the team's background work must be done, zero for none.
+func latestFinish(team decl.Team, now time.Time) time.Time {
+	ofDay, ok := team.LatestFinish()
+	if !ok {
+		return time.Time{}
+	}
+	finish := now.UTC().Truncate(dayLength).Add(ofDay)
+	if finish.Before(now) {
+		finish = finish.Add(dayLength)
+	}
+	return finish
+}
+
+func shorten(s string) string {
+	const most = 64
+	if len(s) > most {
+		return s[:most]
+	}
+	return s
+}
--- /dev/null
+++ b/gate/daemon/caller/request_controller.go
@@ -0,0 +1,169 @@
+package caller
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gorilla/mux"
+	"k8s.io/klog/v2"
+
+	"mangowing/core/codes"
+	"mangowing/core/event"
+	"mangowing/gate/daemon/relay"
+)
+
+const (
+	heldBodyBytes = 256 << 10
+	writeTimeout  = 30 * time.Second
+)
+
+type refusalWire struct {
+	Code    uint16 `json:"code"`
+	Name    string `json:"name"`
+	Outcome string `json:"outcome"`
+	Detail  string `json:"detail,omitempty"`
+}
+
+// request runs one request and passes the upstream's whole answer on.
+func (s *Server) request(w http.ResponseWriter, r *http.Request) {
+	begun := time.Now()
+	id := rand.Text()
+	sink := &httpSink{w: w}
+	a, err := s.admit(r, mux.Vars(r)["queue"])
+	if err != nil {
+		s.refuse(w, id, "", err)
+		return
+	}
+	spec, err := s.spec(w, r, id, a)
+	if err != nil {
+		s.refuse(w, id, a.team.Name(), err)
+		return
+	}
+	result := s.carryOut(r, spec, sink)
+	s.finish(sink, id, a, result, time.Since(begun))
+}
+
+func (s *Server) spec(w http.ResponseWriter, r *http.Request, id string, a admitted) (relay.RequestSpec, error) {
+	spec := relay.RequestSpec{
+		ID: id, Queue: a.queue.Name(), Pool: a.queue.Pool(), Team: a.team.Name(), Class: a.team.Class(),
+		Idempotent: a.team.Idempotent(), Length: a.queue.Length(), Timeout: a.timeout, RunTime: a.team.RunTime(),
+		Finish: latestFinish(a.team, time.Now()), Header: relay.ForwardedHeaders(r.Header),
+	}
+	if r.ContentLength > int64(s.options.MaxBodyBytes) {
+		return spec, codes.Errorf(codes.BodyTooLarge, "at most %d bytes", s.options.MaxBodyBytes)
+	}
+	body := http.MaxBytesReader(w, r.Body, int64(s.options.MaxBodyBytes))
+	return spec, s.readBody(&spec, r, body)
+}
+
+// readBody holds a small body in memory; a larger one is streamed, unless the request must be compared with its repeats.
+func (s *Server) readBody(spec *relay.RequestSpec, r *http.Request, body io.Reader) error {
+	limit := int64(heldBodyBytes)
+	if keyed(r) {
+		limit = int64(s.options.MaxBodyBytes)
+	}
+	var held bytes.Buffer
+	n, err := io.CopyN(&held, body, limit)
+	spec.Body = held.Bytes()
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil
+	case err != nil:
+		return bodyError(err)
+	}
+	spec.Rest = body
+	spec.RestLength = -1
+	if r.ContentLength >= 0 {
+		spec.RestLength = r.ContentLength - n
+	}
+	if spec.RestLength == 0 {
+		spec.Rest = nil
+	}
+	return nil
+}
+
+func keyed(r *http.Request) bool {
+	return r.Header.Get(headerTicket) != "" || r.Header.Get(headerIdempotencyKey) != ""
+}
+
+func bodyError(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return codes.Errorf(codes.BodyTooLarge, "at most %d bytes", tooLarge.Limit)
+	}
+	return codes.Errorf(codes.MalformedRequest, "the body ended early")
+}
+
+// finish answers with the outcome unless an answer has begun; one that broke after its beginning is cut, never ended cleanly.
+func (s *Server) finish(sink *httpSink, id string, a admitted, result relay.Result, took time.Duration) {
+	s.measure(a.queue.Name(), a.team.Name(), result.Code(), took)
+	klog.V(1).InfoS("request-done", "request", id, "team", a.team.Name(), "queue", a.queue.Name(),
+		"vm", result.VM(), "code", uint16(result.Code()), "outcome", result.Outcome().String(), "ms", took.Milliseconds())
+	if result.Begun() && result.Code() != codes.OK {
+		panic(http.ErrAbortHandler)
+	}
+	if !result.Begun() {
+		writeRefusal(sink.w, id, result.Code(), result.Detail())
+	}
+}
+
+func (s *Server) measure(queue, team string, code codes.Code, took time.Duration) {
+	labels := fmt.Sprintf(`{queue=%q,team=%q,code="%d"}`, queue, team, uint16(code))
+	metrics.GetOrCreateCounter("mango_requests_total" + labels).Inc()
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`mango_request_seconds{queue=%q}`, queue)).Update(took.Seconds())
+}
+
+func (s *Server) refuse(w http.ResponseWriter, id, team string, err error) {
+	code := codes.Of(err)
+	detail := ""
+	var coded *codes.Error
+	if errors.As(err, &coded) {
+		detail = coded.Detail()
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`mango_refused_total{code="%d"}`, uint16(code))).Inc()
+	s.process.Events().Add("refused", event.About{Request: id, Team: team, Code: uint16(code)})
+	klog.V(1).InfoS("request-refused", "request", id, "team", team, "code", uint16(code))
+	writeRefusal(w, id, code, detail)
+}
+
+func writeRefusal(w http.ResponseWriter, id string, code codes.Code, detail string) {
+	e := code.Entry()
+	w.Header().Set(relay.HeaderRequestID, id)
+	w.Header().Set(relay.HeaderOutcome, e.Outcome().String())
+	w.Header().Set(relay.HeaderCode, fmt.Sprint(uint16(code)))
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(e.Status())
+	_ = json.NewEncoder(w).Encode(refusalWire{uint16(code), e.Name(), e.Outcome().String(), detail})
+}
+
+// httpSink writes an upstream's answer to the caller.
+type httpSink struct {
+	w http.ResponseWriter
+}
+
+// Begin writes status and headers.
+func (s *httpSink) Begin(status int, header http.Header, requestID string) {
+	for name, values := range relay.ForwardedHeaders(header) {
+		s.w.Header()[name] = values
+	}
+	if length := header.Get("Content-Length"); length != "" {
+		s.w.Header().Set("Content-Length", length)
+	}
+	s.w.Header().Set(relay.HeaderRequestID, requestID)
+	s.w.Header().Set(relay.HeaderOutcome, codes.Ran.String())
+	s.w.Header().Set(relay.HeaderCode, "0")
+	s.w.WriteHeader(status)
+}
+
+// Write passes bytes on; a caller that reads nothing for the write timeout is given up.
+func (s *httpSink) Write(b []byte) (int, error) {
+	_ = http.NewResponseController(s.w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	return s.w.Write(b)
+}
--- /dev/null
+++ b/gate/daemon/caller/server.go
@@ -0,0 +1,122 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gorilla/mux"
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"mangowing/core/fold"
+	"mangowing/core/proc"
+	"mangowing/gate/daemon/relay"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 32 << 10
+)
+
+// States is where the server reads the folded state and the withdrawals that the log does not have yet.
+type States interface {
+	State() *fold.State
+	Withdrawn(hash string) bool
+}
+
+// Runner carries one request out.
+type Runner interface {
+	Run(ctx context.Context, r relay.Request, sink relay.Sink) relay.Result
+}
+
+// Options are the server's settings.
+type Options struct {
+	Address      string // IP number and port
+	MaxBodyBytes int    // largest request body
+}
+
+// Server answers callers.
+type Server struct {
+	process *proc.Process
+	states  States
+	runner  Runner
+	once    Once
+	ready   func() bool
+	options Options
+	http    *http.Server
+	active  atomic.Int64
+}
+
+// New returns the server; ready tells whether the balancer may send work.
+func New(process *proc.Process, states States, runner Runner, once Once, ready func() bool, options Options) *Server {
+	s := &Server{process: process, states: states, runner: runner, once: once, ready: ready, options: options}
+	s.http = &http.Server{
+		Handler:           s.routes(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	return s
+}
+
+func (s *Server) routes() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/readyz", s.readyz).Methods(http.MethodGet)
+	r.HandleFunc("/metrics", s.metrics).Methods(http.MethodGet)
+	r.HandleFunc("/v1/queues/{queue}/requests", s.counted(s.request)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/tickets", s.counted(s.mint)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/requests/{ticket}", s.counted(s.outcome)).Methods(http.MethodGet)
+	return r
+}
+
+// Serve accepts callers until the context ends or Shutdown was called.
+func (s *Server) Serve(ctx context.Context) error {
+	listener, err := net.Listen("tcp", s.options.Address)
+	if err != nil {
+		return eris.Wrap(err, "listen for callers")
+	}
+	klog.InfoS("callers-served", "address", s.options.Address)
+	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
+	defer stop()
+	err = s.http.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return eris.Wrap(err, "serve callers")
+}
+
+// Active returns the number of calls that are being answered.
+func (s *Server) Active() int64 { return s.active.Load() }
+
+// EndKeepAlive makes every further answer ask the caller to close its connection.
+func (s *Server) EndKeepAlive() { s.http.SetKeepAlivesEnabled(false) }
+
+// Shutdown closes the listener and the idle connections and waits for the calls that are being answered.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+func (s *Server) counted(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.active.Add(1)
+		defer s.active.Add(-1)
+		h(w, r)
+	}
+}
+
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !s.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+	metrics.WritePrometheus(w, true)
+}
--- /dev/null
+++ b/gate/daemon/doc.go
@@ -0,0 +1,2 @@
+// Package daemon assembles the gate: its settings, its supervisor tree and its planned stop.
+package daemon
--- /dev/null
+++ b/gate/daemon/peers/network.go
@@ -0,0 +1,261 @@
+package peers
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/jsonrpc2"
+	"k8s.io/klog/v2"
+
+	"mangowing/core/codes"
+)
+
+// ErrRefused is returned when the address refused the connection: surely no process listens there.
+var ErrRefused = eris.New("connection refused")
+
+// ErrSilent is returned when no answer came: the call may have had its effect.
+var ErrSilent = eris.New("no answer")
+
+const dialTimeout = 700 * time.Millisecond
+
+// Handler answers one method of another gate; a *codes.Error keeps its code on the way back.
+type Handler func(ctx context.Context, params json.RawMessage) (any, error)
+
+// Network carries calls between gates over one connection for each address.
+type Network struct {
+	address  string
+	tls      *tls.Config
+	mu       sync.Mutex
+	handlers map[string]Handler
+	dialed   map[string]*link
+	accepted map[*jsonrpc2.Conn]bool
+	traffic  traffic
+}
+
+type link struct {
+	mu   sync.Mutex
+	conn *jsonrpc2.Conn
+}
+
+// NewNetwork returns a network that listens on the address; without a TLS configuration it speaks in the clear.
+func NewNetwork(address string, tlsConfig *tls.Config) *Network {
+	return &Network{
+		address:  address,
+		tls:      tlsConfig,
+		handlers: map[string]Handler{},
+		dialed:   map[string]*link{},
+		accepted: map[*jsonrpc2.Conn]bool{},
+	}
+}
+
+// Handle registers the handler of a method; it must be called before Serve.
+func (n *Network) Handle(method string, h Handler) { n.handlers[method] = h }
+
+// Bytes returns how many bytes the gate received from and sent to other gates.
+func (n *Network) Bytes() (received, sent uint64) {
+	return n.traffic.received.Load(), n.traffic.sent.Load()
+}
+
+// Serve accepts connections until the context ends.
+func (n *Network) Serve(ctx context.Context) error {
+	listener, err := n.listen()
+	if err != nil {
+		return eris.Wrap(err, "listen for peers")
+	}
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			n.closeAll()
+			return ctx.Err()
+		}
+		if err != nil {
+			return eris.Wrap(err, "accept a peer")
+		}
+		n.accept(ctx, conn)
+	}
+}
+
+func (n *Network) listen() (net.Listener, error) {
+	if n.tls != nil {
+		return tls.Listen("tcp", n.address, n.tls)
+	}
+	return net.Listen("tcp", n.address)
+}
+
+func (n *Network) accept(ctx context.Context, conn net.Conn) {
+	stream := jsonrpc2.NewPlainObjectStream(n.traffic.count(conn))
+	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(handlerOf(n)), quiet())
+	n.mu.Lock()
+	n.accepted[rpc] = true
+	n.mu.Unlock()
+	context.AfterFunc(contextOf(rpc), func() {
+		n.mu.Lock()
+		delete(n.accepted, rpc)
+		n.mu.Unlock()
+	})
+}
+
+// contextOf returns a context that ends with the connection.
+func contextOf(rpc *jsonrpc2.Conn) context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-rpc.DisconnectNotify()
+		cancel()
+	}()
+	return ctx
+}
+
+func (n *Network) closeAll() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for rpc := range n.accepted {
+		_ = rpc.Close()
+	}
+	for _, l := range n.dialed {
+		if l.conn != nil {
+			_ = l.conn.Close()
+		}
+	}
+}
+
+type rpcHandler struct{ n *Network }
+
+func handlerOf(n *Network) jsonrpc2.Handler { return rpcHandler{n} }
+
+// Handle answers one request of another gate.
+func (h rpcHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	handle, ok := h.n.handlers[req.Method]
+	if !ok {
+		_ = conn.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method})
+		return
+	}
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	result, err := handle(ctx, params)
+	if req.Notif {
+		return
+	}
+	if err != nil {
+		_ = conn.ReplyWithError(ctx, req.ID, toWireError(err))
+		return
+	}
+	_ = conn.Reply(ctx, req.ID, result)
+}
+
+func toWireError(err error) *jsonrpc2.Error {
+	var coded *codes.Error
+	if errors.As(err, &coded) {
+		return &jsonrpc2.Error{Code: int64(coded.Code()), Message: coded.Detail()}
+	}
+	return &jsonrpc2.Error{Code: int64(codes.Internal), Message: err.Error()}
+}
+
+// Call sends a request to the gate at the address and decodes its result. The error is ErrRefused, ErrSilent
+// (both possibly wrapped) or the *codes.Error that the gate answered.
+func (n *Network) Call(ctx context.Context, address, method string, params, result any) error {
+	conn, err := n.connect(ctx, address)
+	if err != nil {
+		return err
+	}
+	err = conn.Call(ctx, method, params, result)
+	var answered *jsonrpc2.Error
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &answered):
+		return fromWireError(answered)
+	default:
+		return eris.Wrap(ErrSilent, method)
+	}
+}
+
+func fromWireError(e *jsonrpc2.Error) error {
+	if e.Code <= 0 {
+		return codes.Errorf(codes.Internal, "%s", e.Message)
+	}
+	return codes.Errorf(codes.Code(e.Code), "%s", e.Message)
+}
+
+func (n *Network) connect(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	l := n.linkTo(address)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		select {
+		case <-l.conn.DisconnectNotify():
+			l.conn = nil
+		default:
+			return l.conn, nil
+		}
+	}
+	conn, err := n.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	stream := jsonrpc2.NewPlainObjectStream(n.traffic.count(conn))
+	l.conn = jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.AsyncHandler(handlerOf(n)), quiet())
+	return l.conn, nil
+}
+
+func (n *Network) linkTo(address string) *link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l, ok := n.dialed[address]
+	if !ok {
+		l = &link{}
+		n.dialed[address] = l
+	}
+	return l
+}
+
+func (n *Network) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	dialer := &net.Dialer{}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, eris.Wrap(ErrRefused, address)
+	}
+	if err != nil {
+		return nil, eris.Wrap(ErrSilent, address)
+	}
+	if n.tls == nil {
+		return raw, nil
+	}
+	conn := tls.Client(raw, n.tls)
+	if err := conn.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		klog.ErrorS(err, "peer-handshake-failed", "address", address)
+		return nil, eris.Wrap(ErrSilent, address)
+	}
+	return conn, nil
+}
+
+// Drop closes the connection to an address, so that the next call dials anew.
+func (n *Network) Drop(address string) {
+	l := n.linkTo(address)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		_ = l.conn.Close()
+		l.conn = nil
+	}
+}
+
+type silentLogger struct{}
+
+// Printf drops the library's own messages; failures reach the log through the callers.
+func (silentLogger) Printf(string, ...any) {}
+
+func quiet() jsonrpc2.ConnOpt { return jsonrpc2.SetLogger(silentLogger{}) }
--- /dev/null
+++ b/gate/daemon/queue/dispatcher.go
@@ -0,0 +1,447 @@
+package queue
+
+import (
+	"context"
+	"time"
+
+	"mangowing/core/codes"
+	"mangowing/core/event"
+	"mangowing/core/route"
+	"mangowing/core/share"
+)
+
+const (
+	commandBuffer = 1024
+	pumpPeriod    = 50 * time.Millisecond
+)
+
+// Rights is the data centre's part of each team's upper limit; a right is held from the grant until the work has surely ended.
+type Rights interface {
+	TrySpend(team string) bool
+	Return(team string)
+	Want(team string)
+}
+
+// command is what a pool's dispatcher is asked to do.
+type command interface{ isCommand() }
+
+type askCommand struct {
+	ask   askWire
+	reply chan answerWire
+}
+
+type cancelCommand struct{ request string }
+
+type releaseCommand struct {
+	release releaseWire
+	known   chan bool
+}
+
+type configureCommand struct {
+	targets []route.Target
+	active  bool
+}
+
+type reclaimCommand struct{ request string }
+
+type outstandingCommand struct {
+	vm    string
+	reply chan int
+}
+
+type unsureCommand struct{ reply chan []outstanding }
+
+type holderGoneCommand struct{ alive map[string]bool }
+
+type statusCommand struct{ reply chan PoolLoad }
+
+func (askCommand) isCommand()         {}
+func (cancelCommand) isCommand()      {}
+func (releaseCommand) isCommand()     {}
+func (configureCommand) isCommand()   {}
+func (reclaimCommand) isCommand()     {}
+func (outstandingCommand) isCommand() {}
+func (unsureCommand) isCommand()      {}
+func (holderGoneCommand) isCommand()  {}
+func (statusCommand) isCommand()      {}
+
+// PoolLoad is what a dispatcher knows of its pool's load.
+type PoolLoad struct {
+	waiting int
+	running int
+	slots   int
+	teams   []share.TeamSnapshot
+	vms     []VMLoad
+}
+
+// Waiting returns the number of requests that wait.
+func (l PoolLoad) Waiting() int { return l.waiting }
+
+// Running returns the number of grants not yet released.
+func (l PoolLoad) Running() int { return l.running }
+
+// Slots returns the number of slots of the pool's serving VMs in this data centre.
+func (l PoolLoad) Slots() int { return l.slots }
+
+// Teams returns each team's part.
+func (l PoolLoad) Teams() []share.TeamSnapshot { return l.teams }
+
+// VMs returns the VMs with grants not yet released, in no order.
+func (l PoolLoad) VMs() []VMLoad { return l.vms }
+
+// VMLoad is the number of grants on one VM.
+type VMLoad struct {
+	vm      string
+	running int
+}
+
+// VM returns the VM's name.
+func (l VMLoad) VM() string { return l.vm }
+
+// Running returns the number of grants not yet released.
+func (l VMLoad) Running() int { return l.running }
+
+// outstanding is a grant that was not released.
+type outstanding struct {
+	request string
+	team    string
+	vm      string
+	address string
+	holder  string
+	granted time.Time
+	unsure  bool
+}
+
+type waiter struct {
+	ask   askWire
+	reply chan answerWire
+}
+
+// dispatcher grants the starts of one pool in one data centre; its own goroutine owns all fields.
+type dispatcher struct {
+	service   *Service
+	pool      string
+	commands  chan command
+	scheduler *share.Scheduler
+	balancer  *route.Balancer
+	waiters   map[string]waiter
+	grants    map[string]*outstanding
+	slots     int
+	active    bool
+}
+
+func newDispatcher(s *Service, pool string) *dispatcher {
+	return &dispatcher{
+		service:   s,
+		pool:      pool,
+		commands:  make(chan command, commandBuffer),
+		scheduler: share.New(),
+		balancer:  route.New(route.Options{}),
+		waiters:   map[string]waiter{},
+		grants:    map[string]*outstanding{},
+	}
+}
+
+func (d *dispatcher) run(ctx context.Context) {
+	tick := d.service.process.Timers().Every(pumpPeriod)
+	defer tick.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case cmd := <-d.commands:
+			d.handle(cmd)
+		case <-tick.C():
+			d.expire()
+		}
+		d.pump()
+	}
+}
+
+func (d *dispatcher) handle(cmd command) {
+	switch cmd := cmd.(type) {
+	case askCommand:
+		d.ask(cmd)
+	case cancelCommand:
+		d.cancel(cmd.request)
+	case releaseCommand:
+		cmd.known <- d.release(cmd.release)
+	case configureCommand:
+		d.configure(cmd)
+	case reclaimCommand:
+		d.reclaim(cmd.request)
+	case outstandingCommand:
+		cmd.reply <- d.outstandingOn(cmd.vm)
+	case unsureCommand:
+		cmd.reply <- d.unsure()
+	case holderGoneCommand:
+		d.holdersGone(cmd.alive)
+	case statusCommand:
+		cmd.reply <- d.load()
+	}
+}
+
+func (d *dispatcher) load() PoolLoad {
+	counts := map[string]int{}
+	for _, g := range d.grants {
+		counts[g.vm]++
+	}
+	l := PoolLoad{d.scheduler.Waiting(), len(d.grants), d.slots, d.scheduler.Snapshot(), nil}
+	for vm, n := range counts {
+		l.vms = append(l.vms, VMLoad{vm, n})
+	}
+	return l
+}
+
+func (d *dispatcher) ask(cmd askCommand) {
+	if !d.active {
+		cmd.reply <- refusal(codes.DispatcherLost, "another gate dispatches the pool")
+		return
+	}
+	if _, twice := d.waiters[cmd.ask.Request]; twice {
+		cmd.reply <- refusal(codes.DispatcherLost, "asked twice")
+		return
+	}
+	now := time.Now()
+	d.scheduler.SetTeam(cmd.ask.Team, d.service.shareOf(cmd.ask.Team), cmd.ask.QueueLength)
+	if code := d.scheduler.Add(d.item(cmd.ask, now), now); code != codes.OK {
+		answer := refusal(code, "")
+		answer.BacklogMs = d.backlogMs(cmd.ask)
+		cmd.reply <- answer
+		return
+	}
+	d.waiters[cmd.ask.Request] = waiter(cmd)
+	if cmd.ask.Immediate {
+		d.pump()
+		d.refuseIfWaiting(cmd.ask)
+	}
+}
+
+func (d *dispatcher) item(a askWire, now time.Time) share.Item {
+	spec := share.ItemSpec{
+		ID: a.Request, Team: a.Team, Class: a.Class, Arrived: now,
+		Deadline: now.Add(time.Duration(a.WaitMs) * time.Millisecond),
+		Expected: time.Duration(a.RunTimeMs) * time.Millisecond,
+	}
+	if a.LatestFinish > 0 {
+		spec.LatestFinish = time.UnixMilli(a.LatestFinish)
+	}
+	return share.NewItem(spec)
+}
+
+func (d *dispatcher) refuseIfWaiting(a askWire) {
+	w, waits := d.waiters[a.Request]
+	if !waits {
+		return
+	}
+	d.scheduler.Remove(a.Request)
+	delete(d.waiters, a.Request)
+	answer := refusal(codes.QueueFull, "no slot is free at once")
+	answer.BacklogMs = d.backlogMs(a)
+	w.reply <- answer
+}
+
+// backlogMs estimates the wait from the requests that wait for each slot.
+func (d *dispatcher) backlogMs(a askWire) int64 {
+	slots := max(d.slots, 1)
+	return int64(1+d.scheduler.Waiting()) * max(a.RunTimeMs, 1) / int64(slots)
+}
+
+func (d *dispatcher) cancel(request string) {
+	if _, waits := d.waiters[request]; waits {
+		d.scheduler.Remove(request)
+		delete(d.waiters, request)
+	}
+}
+
+func (d *dispatcher) expire() {
+	for _, item := range d.scheduler.Expire(time.Now()) {
+		d.refuse(item.ID(), codes.DeadlineUnmeetable, "no slot in time")
+	}
+}
+
+func (d *dispatcher) refuse(request string, code codes.Code, detail string) {
+	if w, waits := d.waiters[request]; waits {
+		delete(d.waiters, request)
+		w.reply <- refusal(code, detail)
+	}
+}
+
+// pump grants starts while a VM has a free slot, a request waits and its team has a right.
+func (d *dispatcher) pump() {
+	for d.active && d.scheduler.Waiting() > 0 {
+		if !d.grantNext(time.Now()) {
+			return
+		}
+	}
+}
+
+func (d *dispatcher) grantNext(now time.Time) bool {
+	if _, free := d.balancer.Pick(now, nil); !free {
+		return false
+	}
+	spent := ""
+	item, ok := d.scheduler.Next(now, func(team string) bool {
+		if d.service.rights.TrySpend(team) {
+			spent = team
+			return true
+		}
+		d.service.rights.Want(team)
+		return false
+	})
+	if !ok {
+		if spent != "" {
+			d.service.rights.Return(spent)
+		}
+		return false
+	}
+	w := d.waiters[item.ID()]
+	delete(d.waiters, item.ID())
+	target, free := d.balancer.Pick(now, excluded(w.ask.ExceptVM))
+	if !free {
+		d.giveBack(item, now)
+		w.reply <- refusal(codes.NoUpstream, "no other VM is free")
+		return true
+	}
+	d.grant(w, item, target, now)
+	return true
+}
+
+func excluded(names []string) func(string) bool {
+	if len(names) == 0 {
+		return nil
+	}
+	return func(name string) bool {
+		for _, n := range names {
+			if n == name {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+func (d *dispatcher) giveBack(item share.Item, now time.Time) {
+	d.scheduler.Ended(item.ID(), 0, now)
+	d.service.rights.Return(item.Team())
+}
+
+func (d *dispatcher) grant(w waiter, item share.Item, target route.Target, now time.Time) {
+	d.balancer.Started(target.Name())
+	d.grants[item.ID()] = &outstanding{
+		request: item.ID(), team: item.Team(), vm: target.Name(), address: target.Address(),
+		holder: w.ask.Holder, granted: now,
+	}
+	d.service.process.Events().Add("grant", event.About{Request: item.ID(), Team: item.Team(), VM: target.Name()})
+	w.reply <- answerWire{
+		Granted: true, VM: target.Name(), Address: target.Address(), Dispatcher: d.service.process.Incarnation(),
+		WaitedMs: now.Sub(item.Arrived()).Milliseconds(),
+	}
+}
+
+// release ends a grant; one whose work may still run stays outstanding until a worker's report shows that it ended.
+func (d *dispatcher) release(r releaseWire) bool {
+	g, known := d.grants[r.Request]
+	if !known {
+		d.cancel(r.Request)
+		return false
+	}
+	took := time.Duration(r.TookMs) * time.Millisecond
+	if r.Result == ResultUnsure {
+		g.unsure = true
+		return true
+	}
+	d.end(g, r.Result, took)
+	return true
+}
+
+func (d *dispatcher) end(g *outstanding, result Result, took time.Duration) {
+	now := time.Now()
+	delete(d.grants, g.request)
+	d.balancer.Ended(g.vm, routeResult(result), took, now)
+	charged := took
+	if result != ResultRan && result != ResultFailed && result != ResultUnsure {
+		charged = 0
+	}
+	d.scheduler.Ended(g.request, charged, now)
+	d.service.rights.Return(g.team)
+	d.scheduler.Unblock(g.team)
+}
+
+func routeResult(r Result) route.Result {
+	switch r {
+	case ResultFailed, ResultUnsure:
+		return route.Failed
+	case ResultRefused:
+		return route.Refused
+	case ResultUnreached:
+		return route.Unreached
+	case ResultNotStarted:
+		return route.Neutral
+	default:
+		return route.Good
+	}
+}
+
+func (d *dispatcher) reclaim(request string) {
+	if g, known := d.grants[request]; known {
+		d.service.process.Events().Add("grant-reclaimed", event.About{Request: request, Team: g.team, VM: g.vm})
+		d.end(g, ResultUnsure, time.Since(g.granted))
+	}
+}
+
+func (d *dispatcher) outstandingOn(vm string) int {
+	n := 0
+	for _, g := range d.grants {
+		if g.vm == vm {
+			n++
+		}
+	}
+	return n
+}
+
+func (d *dispatcher) unsure() []outstanding {
+	var out []outstanding
+	for _, g := range d.grants {
+		if g.unsure {
+			out = append(out, *g)
+		}
+	}
+	return out
+}
+
+// holdersGone marks the grants of gates that certainly ended: their work may still run, but nobody will release it.
+func (d *dispatcher) holdersGone(alive map[string]bool) {
+	for _, g := range d.grants {
+		if !alive[g.holder] {
+			g.unsure = true
+		}
+	}
+	for request, w := range d.waiters {
+		if !alive[w.ask.Holder] {
+			d.cancel(request)
+		}
+	}
+}
+
+func (d *dispatcher) configure(c configureCommand) {
+	d.balancer.SetTargets(c.targets)
+	d.slots = 0
+	for _, t := range c.targets {
+		d.slots += t.Slots()
+	}
+	d.scheduler.SetSlots(d.slots)
+	d.balancer.SetOptions(route.Options{EjectedPercent: d.service.states.State().Config().Fleet().EjectedPercent()})
+	d.active = c.active
+	if !d.active {
+		d.flush()
+	}
+}
+
+// flush sends those that wait to the gate that dispatches the pool now.
+func (d *dispatcher) flush() {
+	for request := range d.waiters {
+		d.scheduler.Remove(request)
+		d.refuse(request, codes.DispatcherLost, "another gate dispatches the pool")
+	}
+}
--- /dev/null
+++ b/gate/daemon/state/append.go
@@ -0,0 +1,249 @@
+package state
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"mangowing/core/codes"
+	"mangowing/core/fold"
+	"mangowing/core/record"
+)
+
+const (
+	methodAppend  = "state/append"
+	methodInForce = "state/in-force"
+
+	batchMost     = 256
+	appendTimeout = 3 * time.Second
+	retryPause    = 200 * time.Millisecond
+)
+
+type appendWire struct {
+	Records []json.RawMessage `json:"records"`
+}
+
+type inForceWire struct {
+	Offset uint64 `json:"offset"`
+	WaitMs int64  `json:"wait-ms"`
+}
+
+type inForceAnswerWire struct {
+	Offset uint64 `json:"offset"`
+}
+
+// Placed is a record's verdict with the log offset at which it was folded.
+type Placed struct {
+	verdict fold.Verdict
+	offset  uint64
+}
+
+// Verdict returns what became of the record.
+func (p Placed) Verdict() fold.Verdict { return p.verdict }
+
+// Offset returns the log offset of the record's entry.
+func (p Placed) Offset() uint64 { return p.offset }
+
+// pendingRecord waits for its append; done is told when the log has acknowledged it.
+type pendingRecord struct {
+	ctx  context.Context
+	raw  json.RawMessage
+	done chan struct{}
+}
+
+// Append writes the records and returns their verdicts once they were read back and folded.
+// An error with code LogUnavailable means that the records may still come into force later.
+func (s *Service) Append(ctx context.Context, records []record.Record) ([]fold.Verdict, error) {
+	placed, err := s.AppendPlaced(ctx, records)
+	verdicts := make([]fold.Verdict, 0, len(placed))
+	for _, p := range placed {
+		verdicts = append(verdicts, p.verdict)
+	}
+	return verdicts, err
+}
+
+// AppendPlaced is Append with the offset of each record.
+func (s *Service) AppendPlaced(ctx context.Context, records []record.Record) ([]Placed, error) {
+	waiters := make([]chan placed, len(records))
+	for i, r := range records {
+		waiters[i] = make(chan placed, 1)
+		if err := s.send(ctx, awaitRecord{r.ID(), waiters[i]}); err != nil {
+			return nil, codes.Errorf(codes.LogUnavailable, "stopped before the append")
+		}
+	}
+	for _, r := range records {
+		raw, err := r.Encode()
+		if err != nil {
+			return nil, err
+		}
+		if err := s.enqueue(ctx, &pendingRecord{ctx, raw, make(chan struct{}, 1)}); err != nil {
+			return nil, codes.Errorf(codes.LogUnavailable, "no answer from the log")
+		}
+	}
+	placed, err := awaitAll(ctx, waiters)
+	if err != nil {
+		s.forget(records)
+	}
+	return placed, err
+}
+
+func (s *Service) forget(records []record.Record) {
+	for _, r := range records {
+		select {
+		case s.inbox <- forgetRecord{r.ID()}:
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+func awaitAll(ctx context.Context, waiters []chan placed) ([]Placed, error) {
+	out := make([]Placed, 0, len(waiters))
+	for _, waiter := range waiters {
+		select {
+		case p := <-waiter:
+			out = append(out, Placed(p))
+		case <-ctx.Done():
+			return out, codes.Errorf(codes.LogUnavailable, "no answer from the log")
+		}
+	}
+	return out, nil
+}
+
+func (s *Service) enqueue(ctx context.Context, p *pendingRecord) error {
+	select {
+	case s.pending <- p:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Write groups pending records into appends until the context ends.
+func (s *Service) Write(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case first := <-s.pending:
+			s.writeBatch(ctx, s.gather(ctx, first))
+		}
+	}
+}
+
+func (s *Service) gather(ctx context.Context, first *pendingRecord) []*pendingRecord {
+	batch := []*pendingRecord{first}
+	timeout := time.NewTimer(s.options.AppendGroup)
+	defer timeout.Stop()
+	for len(batch) < batchMost {
+		select {
+		case p := <-s.pending:
+			batch = append(batch, p)
+		case <-timeout.C:
+			return batch
+		case <-ctx.Done():
+			return batch
+		}
+	}
+	return batch
+}
+
+func (s *Service) writeBatch(ctx context.Context, batch []*pendingRecord) {
+	for ctx.Err() == nil {
+		batch = stillWanted(batch)
+		if len(batch) == 0 {
+			return
+		}
+		err := s.tryWrite(ctx, batch)
+		if err == nil {
+			for _, p := range batch {
+				p.done <- struct{}{}
+			}
+			return
+		}
+		klog.V(1).InfoS("append-failed", "records", len(batch), "error", err.Error())
+		sleep(ctx, retryPause)
+	}
+}
+
+func stillWanted(batch []*pendingRecord) []*pendingRecord {
+	var out []*pendingRecord
+	for _, p := range batch {
+		if p.ctx.Err() == nil {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// tryWrite hands the batch to the data centre's appender, or appends it itself where that fails. Both may take
+// effect: the fold takes each record id once.
+func (s *Service) tryWrite(ctx context.Context, batch []*pendingRecord) error {
+	raws := make([]json.RawMessage, 0, len(batch))
+	for _, p := range batch {
+		raws = append(raws, p.raw)
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	appender, ok := s.view().Pick(s.ownDataCentre(), pollKey)
+	if ok && !appender.Self() {
+		if err := s.peers.Call(ctx, appender.Address(), methodAppend, appendWire{raws}, nil); err == nil {
+			return nil
+		}
+	}
+	data, err := json.Marshal(raws)
+	if err != nil {
+		return err
+	}
+	_, err = s.log.Append(ctx, StreamControl, data)
+	return err
+}
+
+// answerAppend takes records of another gate of the data centre and answers once the log has acknowledged them.
+func (s *Service) answerAppend(ctx context.Context, raw json.RawMessage) (any, error) {
+	var w appendWire
+	if err := json.Unmarshal(raw, &w); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	pending := make([]*pendingRecord, 0, len(w.Records))
+	for _, r := range w.Records {
+		p := &pendingRecord{ctx, r, make(chan struct{}, 1)}
+		if err := s.enqueue(ctx, p); err != nil {
+			return nil, codes.Errorf(codes.LogUnavailable, "appender is busy")
+		}
+		pending = append(pending, p)
+	}
+	for _, p := range pending {
+		select {
+		case <-p.done:
+		case <-ctx.Done():
+			return nil, codes.Errorf(codes.LogUnavailable, "no answer from the log")
+		}
+	}
+	return struct{}{}, nil
+}
+
+// AwaitOffset waits until the offset is folded here and tells whether it is.
+func (s *Service) AwaitOffset(ctx context.Context, offset uint64, wait time.Duration) bool {
+	deadline := time.Now().Add(wait)
+	for s.State().Offset() < offset {
+		left := time.Until(deadline)
+		if left <= 0 || ctx.Err() != nil {
+			return false
+		}
+		s.tail.await(ctx, s.State().Offset()+1, 1, left)
+	}
+	return true
+}
+
+func (s *Service) answerInForce(ctx context.Context, raw json.RawMessage) (any, error) {
+	var w inForceWire
+	if err := json.Unmarshal(raw, &w); err != nil {
+		return nil, err
+	}
+	s.AwaitOffset(ctx, w.Offset, time.Duration(w.WaitMs)*time.Millisecond)
+	return inForceAnswerWire{s.State().Offset()}, nil
+}
--- /dev/null
+++ b/gate/daemon/state/service.go
@@ -0,0 +1,297 @@
+package state
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"mangowing/core/codes"
+	"mangowing/core/event"
+	"mangowing/core/fold"
+	"mangowing/core/proc"
+	"mangowing/core/record"
+	"mangowing/gate/daemon/peers"
+	"mangowing/gate/plat"
+)
+
+// Streams of the platform's log.
+const (
+	StreamControl  = "control"
+	StreamSnapshot = "snapshot"
+)
+
+const inboxLength = 256
+
+// Log is what the service needs of the platform's log.
+type Log interface {
+	Append(ctx context.Context, stream string, data []byte) (uint64, error)
+	Read(ctx context.Context, stream string, from uint64, most int, wait time.Duration) (plat.Page, error)
+}
+
+// Peers is what the service needs of the other gates.
+type Peers interface {
+	Call(ctx context.Context, address, method string, params, result any) error
+	Handle(method string, h peers.Handler)
+}
+
+// Options are the service's settings; zero values take defaults.
+type Options struct {
+	AppendGroup   time.Duration // how long records are gathered for one append
+	SnapshotEvery int           // entries between two snapshots
+	SnapshotAge   time.Duration // longest time between two snapshots
+}
+
+// Service folds the log, appends records and hands entries on to other gates.
+type Service struct {
+	process   *proc.Process
+	log       Log
+	peers     Peers
+	view      func() *peers.View
+	options   Options
+	current   atomic.Pointer[fold.State]
+	inbox     chan command
+	tail      tail
+	freshness freshness
+	withdrawn withdrawals
+	pending   chan *pendingRecord
+	onChange  []func(*fold.State)
+	snapshots snapshotProgress
+	folder    *fold.Folder
+}
+
+// New returns the service; SetView must be called before Serve.
+func New(process *proc.Process, log Log, network Peers, options Options) *Service {
+	s := &Service{
+		process: process,
+		log:     log,
+		peers:   network,
+		options: options,
+		inbox:   make(chan command, inboxLength),
+		pending: make(chan *pendingRecord, inboxLength),
+		folder:  fold.NewFolder(),
+	}
+	s.current.Store(&fold.State{})
+	s.tail.init()
+	s.registerHandlers()
+	return s
+}
+
+// SetView gives the service the source of the membership view.
+func (s *Service) SetView(view func() *peers.View) { s.view = view }
+
+// OnChange registers a function that the control goroutine calls after each publication; call before Serve.
+func (s *Service) OnChange(f func(*fold.State)) { s.onChange = append(s.onChange, f) }
+
+// State returns the last published state.
+func (s *Service) State() *fold.State { return s.current.Load() }
+
+// command is what the control goroutine is asked to do.
+type command interface{ isCommand() }
+
+type applyEntries struct {
+	entries []entry
+	done    chan error
+}
+
+type adoptState struct {
+	folder *fold.Folder
+	done   chan error
+}
+
+type awaitRecord struct {
+	id      string
+	verdict chan placed
+}
+
+type forgetRecord struct {
+	id string
+}
+
+type encodeState struct {
+	done chan encodedState
+}
+
+type encodedState struct {
+	raw    []byte
+	offset uint64
+	err    error
+}
+
+func (applyEntries) isCommand() {}
+func (adoptState) isCommand()   {}
+func (awaitRecord) isCommand()  {}
+func (forgetRecord) isCommand() {}
+func (encodeState) isCommand()  {}
+
+// placed is the verdict on a record and where the record stands.
+type placed struct {
+	verdict fold.Verdict
+	offset  uint64
+}
+
+// control owns the service's folder; only its own goroutine calls its methods.
+type control struct {
+	service *Service
+	waiters map[string][]chan placed
+}
+
+// Serve runs the control goroutine until the context ends.
+func (s *Service) Serve(ctx context.Context) error {
+	c := &control{service: s, waiters: map[string][]chan placed{}}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case cmd := <-s.inbox:
+			c.handle(cmd)
+		}
+	}
+}
+
+func (c *control) handle(cmd command) {
+	switch cmd := cmd.(type) {
+	case applyEntries:
+		cmd.done <- c.apply(cmd.entries)
+	case adoptState:
+		cmd.done <- c.adopt(cmd.folder)
+	case awaitRecord:
+		c.waiters[cmd.id] = append(c.waiters[cmd.id], cmd.verdict)
+	case forgetRecord:
+		delete(c.waiters, cmd.id)
+	case encodeState:
+		raw, err := c.service.folder.Encode()
+		cmd.done <- encodedState{raw, c.service.folder.Offset(), err}
+	}
+}
+
+func (c *control) apply(entries []entry) error {
+	before := c.service.folder.Offset()
+	for _, e := range entries {
+		if e.Offset <= c.service.folder.Offset() {
+			continue
+		}
+		verdicts, err := c.service.folder.Apply(e.Offset, []byte(e.Data))
+		if err != nil {
+			c.publishIfNewer(before)
+			return err
+		}
+		c.service.tail.add(e)
+		c.tell(verdicts, e.Offset)
+	}
+	c.publishIfNewer(before)
+	return nil
+}
+
+func (c *control) adopt(f *fold.Folder) error {
+	if f.Offset() <= c.service.folder.Offset() {
+		return nil
+	}
+	before := c.service.folder.Offset()
+	c.service.folder = f
+	c.service.tail.restart(f.Offset())
+	c.tellAdopted(f)
+	c.publishIfNewer(before)
+	return nil
+}
+
+func (c *control) publishIfNewer(before uint64) {
+	if c.service.folder.Offset() == before {
+		return
+	}
+	published := c.service.folder.Publish()
+	c.service.current.Store(published)
+	c.service.tail.wakeAll()
+	for _, f := range c.service.onChange {
+		f(published)
+	}
+}
+
+func (c *control) tell(verdicts []fold.Verdict, offset uint64) {
+	for _, v := range verdicts {
+		c.note(v, offset)
+		for _, waiter := range c.waiters[v.ID()] {
+			waiter <- placed{v, offset}
+		}
+		delete(c.waiters, v.ID())
+	}
+}
+
+// tellAdopted answers the waiters whose records the adopted state already contains.
+func (c *control) tellAdopted(f *fold.Folder) {
+	for id, waiters := range c.waiters {
+		verdict, ok := f.Recall(id)
+		if !ok {
+			continue
+		}
+		for _, waiter := range waiters {
+			waiter <- placed{verdict, f.Offset()}
+		}
+		delete(c.waiters, id)
+	}
+}
+
+func (c *control) note(v fold.Verdict, offset uint64) {
+	switch v.Code() {
+	case codes.OK:
+	case codes.RecordMalformed:
+		klog.InfoS("record-malformed", "offset", offset)
+		c.service.process.Events().Add("record-malformed", event.About{Code: uint16(v.Code())})
+	default:
+		klog.V(1).InfoS("record-refused", "offset", offset, "id", v.ID(), "code", uint16(v.Code()), "detail", v.Detail())
+	}
+}
+
+func (s *Service) send(ctx context.Context, cmd command) error {
+	select {
+	case s.inbox <- cmd:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *Service) sendAndWait(ctx context.Context, cmd command, done chan error) error {
+	if err := s.send(ctx, cmd); err != nil {
+		return err
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *Service) applyAll(ctx context.Context, entries []entry) error {
+	done := make(chan error, 1)
+	return s.sendAndWait(ctx, applyEntries{entries, done}, done)
+}
+
+func (s *Service) adopt(ctx context.Context, encoded []byte) error {
+	f, err := fold.Restore(encoded)
+	if err != nil {
+		return err
+	}
+	done := make(chan error, 1)
+	return s.sendAndWait(ctx, adoptState{f, done}, done)
+}
+
+func (s *Service) encode(ctx context.Context) (encodedState, error) {
+	done := make(chan encodedState, 1)
+	if err := s.send(ctx, encodeState{done}); err != nil {
+		return encodedState{}, err
+	}
+	select {
+	case e := <-done:
+		return e, e.err
+	case <-ctx.Done():
+		return encodedState{}, ctx.Err()
+	}
+}
+
+// New record written by this gate.
+func (s *Service) newRecord(body record.Body) record.Record {
+	return record.New(s.process.Incarnation(), s.process.NowMs(), body)
+}
--- /dev/null
+++ b/gate/daemon/state/withdraw.go
@@ -0,0 +1,167 @@
+package state
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mangowing/core/event"
+	"mangowing/core/record"
+	"mangowing/gate/daemon/peers"
+)
+
+const (
+	methodWithdraw  = "state/withdraw"
+	methodWithdrawn = "state/withdrawn"
+
+	gossipTimeout  = time.Second
+	withdrawPeriod = time.Second
+)
+
+type hashesWire struct {
+	Hashes []string `json:"hashes"`
+}
+
+// withdrawals is the grow-only set of withdrawn keys that this gate knows of besides the fold.
+type withdrawals struct {
+	set    atomic.Pointer[map[string]bool]
+	mu     sync.Mutex
+	digest atomic.Uint64
+}
+
+func (w *withdrawals) has(hash string) bool {
+	set := w.set.Load()
+	return set != nil && (*set)[hash]
+}
+
+func (w *withdrawals) list() []string {
+	set := w.set.Load()
+	if set == nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(*set))
+}
+
+func (w *withdrawals) add(hashes []string) (grown bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	next := map[string]bool{}
+	if old := w.set.Load(); old != nil {
+		maps.Copy(next, *old)
+	}
+	digest := w.digest.Load()
+	for _, h := range hashes {
+		if !next[h] {
+			next[h] = true
+			digest ^= xxhash.Sum64String(h)
+			grown = true
+		}
+	}
+	w.set.Store(&next)
+	w.digest.Store(digest)
+	return grown
+}
+
+// Withdrawn tells whether a key was withdrawn, by the log or by word of another gate that the log does not have yet.
+func (s *Service) Withdrawn(hash string) bool {
+	if s.withdrawn.has(hash) {
+		return true
+	}
+	k, ok := s.State().Key(hash)
+	return ok && k.Withdrawn()
+}
+
+// WithdrawnDigest returns a digest of the set that heartbeats carry.
+func (s *Service) WithdrawnDigest() uint64 { return s.withdrawn.digest.Load() }
+
+// Withdraw makes the key stop here at once and tells every gate that can be reached; the log learns of it as soon as it can.
+func (s *Service) Withdraw(ctx context.Context, hash string) {
+	s.takeWithdrawn([]string{hash})
+	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	view := s.view()
+	for _, m := range view.Members() {
+		if m.Self() || m.Refused() {
+			continue
+		}
+		wg.Go(func() {
+			_ = s.peers.Call(ctx, m.Address(), methodWithdraw, hashesWire{[]string{hash}}, nil)
+		})
+	}
+	wg.Wait()
+}
+
+// HearBeat pulls another gate's withdrawals when its digest differs from this gate's.
+func (s *Service) HearBeat(m peers.Member, digest uint64) {
+	if digest == 0 || digest == s.WithdrawnDigest() {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), gossipTimeout)
+		defer cancel()
+		var answer hashesWire
+		if err := s.peers.Call(ctx, m.Address(), methodWithdrawn, struct{}{}, &answer); err == nil {
+			s.takeWithdrawn(answer.Hashes)
+		}
+	}()
+}
+
+func (s *Service) takeWithdrawn(hashes []string) {
+	if s.withdrawn.add(hashes) {
+		s.process.Events().Add("key-withdrawn", event.About{})
+	}
+}
+
+func (s *Service) answerWithdraw(_ context.Context, raw json.RawMessage) (any, error) {
+	var w hashesWire
+	if err := json.Unmarshal(raw, &w); err != nil {
+		return nil, err
+	}
+	s.takeWithdrawn(w.Hashes)
+	return struct{}{}, nil
+}
+
+func (s *Service) answerWithdrawn(context.Context, json.RawMessage) (any, error) {
+	return hashesWire{s.withdrawn.list()}, nil
+}
+
+// PersistWithdrawals appends withdrawals that the log does not have yet, until the context ends. Every gate does it:
+// the record's id follows from the key, so that a repeat folds to nothing.
+func (s *Service) PersistWithdrawals(ctx context.Context) error {
+	tick := s.process.Timers().Every(withdrawPeriod)
+	defer tick.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C():
+			s.persistOnce(ctx)
+		}
+	}
+}
+
+func (s *Service) persistOnce(ctx context.Context) {
+	writer, ok := s.view().Pick("", pollKey)
+	if ok && !writer.Self() && s.LogReachable() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	var records []record.Record
+	for _, hash := range s.withdrawn.list() {
+		if k, known := s.State().Key(hash); !known || !k.Withdrawn() {
+			id := "withdraw-" + hash
+			records = append(records, record.NewWithID(id, s.process.Incarnation(), s.process.NowMs(), record.NewKeyWithdraw(hash)))
+		}
+	}
+	if len(records) > 0 {
+		_, _ = s.Append(ctx, records)
+	}
+}
--- /dev/null
+++ b/gate/daemon/stop_helper.go
@@ -0,0 +1,44 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"mangowing/core/event"
+)
+
+const stopCheck = 50 * time.Millisecond
+
+// stop carries out a planned stop: tell the balancer and the peers, still take what arrives for a while, wait until
+// all answers are out and all grants are released, then close.
+func (g *gate) stop(ctx context.Context) {
+	begun := time.Now()
+	g.stopping.Store(true)
+	g.members.Refresh()
+	g.queues.Wake()
+	klog.InfoS("planned-stop", "active", g.callers.Active())
+	g.process.Events().Add("planned-stop", event.About{})
+	ctx, cancel := context.WithTimeout(ctx, g.settings.stopLimit)
+	defer cancel()
+	g.callers.EndKeepAlive()
+	await(ctx, func() bool { return time.Since(begun) >= g.settings.lameDuck && g.callers.Active() == 0 })
+	if err := g.callers.Shutdown(ctx); err != nil {
+		klog.ErrorS(err, "stop-cut-requests", "active", g.callers.Active())
+	}
+	await(ctx, func() bool { return g.queues.Outstanding() == 0 })
+	klog.InfoS("planned-stop-done", "ms", time.Since(begun).Milliseconds())
+}
+
+func await(ctx context.Context, done func() bool) {
+	tick := time.NewTicker(stopCheck)
+	defer tick.Stop()
+	for !done() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
--- /dev/null
+++ b/gate/daemon/vmlist/service.go
@@ -0,0 +1,242 @@
+package vmlist
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"mangowing/core/event"
+	"mangowing/core/proc"
+	"mangowing/gate/daemon/peers"
+	"mangowing/gate/plat"
+)
+
+const (
+	methodRead   = "vmlist/read"
+	pollKey      = "vm-poller"
+	callMargin   = 2 * time.Second
+	failurePause = 250 * time.Millisecond
+)
+
+// Platform is what the service needs of the platform.
+type Platform interface {
+	VMs(ctx context.Context, since uint64, wait time.Duration) (plat.VMPage, error)
+}
+
+// Peers is what the service needs of the other gates.
+type Peers interface {
+	Call(ctx context.Context, address, method string, params, result any) error
+	Handle(method string, h peers.Handler)
+}
+
+// List is one immutable copy of the VM list; the zero value is empty.
+type List struct {
+	version uint64
+	vms     map[string]plat.VM
+}
+
+// VM returns the VM of that name.
+func (l *List) VM(name string) (plat.VM, bool) {
+	vm, ok := l.vms[name]
+	return vm, ok
+}
+
+// Names returns the names of all VMs in order.
+func (l *List) Names() []string { return slices.Sorted(maps.Keys(l.vms)) }
+
+// Len returns the number of VMs.
+func (l *List) Len() int { return len(l.vms) }
+
+type readWire struct {
+	Since  uint64 `json:"since"`
+	WaitMs int64  `json:"wait-ms"`
+}
+
+type readAnswerWire struct {
+	Version     uint64    `json:"version"`
+	StalenessMs int64     `json:"staleness-ms"`
+	VMs         []plat.VM `json:"vms,omitempty"`
+}
+
+// Service polls the list and publishes copies of it.
+type Service struct {
+	process  *proc.Process
+	platform Platform
+	peers    Peers
+	view     func() *peers.View
+	wait     time.Duration
+	current  atomic.Pointer[List]
+	mu       sync.Mutex
+	changed  chan struct{}
+	versions map[string]uint64
+	seen     time.Time
+	onChange []func(*List)
+}
+
+// New returns the service; one call for the list waits at most the given time for a change.
+func New(process *proc.Process, platform Platform, network Peers, view func() *peers.View, wait time.Duration) *Service {
+	s := &Service{
+		process:  process,
+		platform: platform,
+		peers:    network,
+		view:     view,
+		wait:     wait,
+		changed:  make(chan struct{}),
+		versions: map[string]uint64{},
+	}
+	s.current.Store(&List{})
+	network.Handle(methodRead, s.answerRead)
+	return s
+}
+
+// List returns the last published copy.
+func (s *Service) List() *List { return s.current.Load() }
+
+// OnChange registers a function that is called after each change; call before Serve.
+func (s *Service) OnChange(f func(*List)) { s.onChange = append(s.onChange, f) }
+
+// StalenessMs returns the milliseconds since the platform last confirmed the list, to this gate or to the one it reads from.
+func (s *Service) StalenessMs() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.seen).Milliseconds()
+}
+
+// Serve polls until the context ends.
+func (s *Service) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := s.poll(ctx); err != nil {
+			klog.V(2).InfoS("vm-list-failed", "error", err.Error())
+			pause := time.NewTimer(failurePause)
+			select {
+			case <-ctx.Done():
+			case <-pause.C:
+			}
+			pause.Stop()
+		}
+	}
+	return ctx.Err()
+}
+
+func (s *Service) poll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, s.wait+callMargin)
+	defer cancel()
+	poller, ok := s.view().Pick(s.ownDataCentre(), pollKey)
+	if ok && !poller.Self() && s.pollPeer(ctx, poller) == nil {
+		return nil
+	}
+	page, err := s.platform.VMs(ctx, s.List().version, s.wait)
+	if err == nil {
+		s.merge(page.Version(), page.VMs(), time.Now())
+		return nil
+	}
+	return s.pollOthers(ctx, err)
+}
+
+// pollOthers asks the gates of other data centres while the platform can't be reached.
+func (s *Service) pollOthers(ctx context.Context, failure error) error {
+	for _, m := range s.view().Rank("", pollKey) {
+		if m.DataCentre() != s.ownDataCentre() && s.pollPeer(ctx, m) == nil {
+			return nil
+		}
+	}
+	return failure
+}
+
+func (s *Service) pollPeer(ctx context.Context, m peers.Member) error {
+	var answer readAnswerWire
+	if err := s.peers.Call(ctx, m.Address(), methodRead, readWire{s.List().version, s.wait.Milliseconds()}, &answer); err != nil {
+		return err
+	}
+	s.merge(answer.Version, answer.VMs, time.Now().Add(-time.Duration(answer.StalenessMs)*time.Millisecond))
+	return nil
+}
+
+func (s *Service) ownDataCentre() string {
+	for _, m := range s.view().Members() {
+		if m.Self() {
+			return m.DataCentre()
+		}
+	}
+	return ""
+}
+
+func (s *Service) merge(version uint64, vms []plat.VM, seen time.Time) {
+	s.mu.Lock()
+	if seen.After(s.seen) {
+		s.seen = seen
+	}
+	old := s.List()
+	if version <= old.version {
+		s.mu.Unlock()
+		return
+	}
+	next := &List{version, maps.Clone(old.vms)}
+	if next.vms == nil {
+		next.vms = map[string]plat.VM{}
+	}
+	for _, vm := range vms {
+		s.noteChange(old, vm)
+		next.vms[vm.Name()] = vm
+		s.versions[vm.Name()] = version
+	}
+	s.current.Store(next)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	s.mu.Unlock()
+	for _, f := range s.onChange {
+		f(next)
+	}
+}
+
+func (s *Service) noteChange(old *List, vm plat.VM) {
+	before, known := old.vms[vm.Name()]
+	if known && before.State() != vm.State() {
+		s.process.Events().Add("vm-"+vm.State(), event.About{VM: vm.Name()})
+	}
+	if known && before.Generation() != vm.Generation() {
+		s.process.Events().Add("vm-replaced", event.About{VM: vm.Name()})
+	}
+}
+
+func (s *Service) answerRead(ctx context.Context, raw json.RawMessage) (any, error) {
+	var w readWire
+	if err := json.Unmarshal(raw, &w); err != nil {
+		return nil, err
+	}
+	s.awaitNewer(ctx, w.Since, min(time.Duration(w.WaitMs)*time.Millisecond, s.wait))
+	answer := readAnswerWire{StalenessMs: s.StalenessMs()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := s.List()
+	answer.Version = list.version
+	for name, version := range s.versions {
+		if version > w.Since {
+			answer.VMs = append(answer.VMs, list.vms[name])
+		}
+	}
+	return answer, nil
+}
+
+func (s *Service) awaitNewer(ctx context.Context, since uint64, wait time.Duration) {
+	s.mu.Lock()
+	changed := s.changed
+	newer := s.List().version > since
+	s.mu.Unlock()
+	if newer {
+		return
+	}
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	select {
+	case <-changed:
+	case <-deadline.C:
+	case <-ctx.Done():
+	}
+}
--- a/gate/main.go
+++ b/gate/main.go
@@ -1,4 +1,12 @@
-// Command gate is one of mangowing's programs; see README.md.
+// Command gate serves callers, operators and other gates on one entry VM.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"mangowing/gate/daemon"
+)
+
+func main() {
+	os.Exit(daemon.Execute(os.Args[1:]))
+}
