Add a load that checks every outcome against the workers' counts

`stand load` sends the requests of several teams through gates as a balancer would: by turns over gates whose /readyz is 200, and to the next one only where no byte was sent. Each attempt carries its own id, so that the counts can tell work that was lost, started twice, or started although an attempt was said not to have run; answers must be whole and belong to the work. It also checks the most running of each team against its declared limit and VMs that served two pools at once, and exits 1 when anything is found.

A fake gate that misbehaves in one way each shows every finding; the finding is absent with an honest one. Ruled out: checking a false not-run by the work's id alone, since a retry that runs later would hide it.

--- /dev/null
+++ b/stand/load/load_test.go
@@ -0,0 +1,264 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/fs"
+	"gotest.tools/v3/golden"
+
+	"mangowing/core/codes"
+	"mangowing/core/decl"
+	"mangowing/stand/count"
+	"mangowing/stand/worker"
+)
+
+// gate is a fake gate that misbehaves in one way.
+type gate struct {
+	fault string
+	board *count.Board
+	mu    sync.Mutex
+	seen  int
+}
+
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	switch {
+	case r.URL.Path == "/readyz":
+		if g.fault == "not ready" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	case r.URL.Path == "/v1/tickets":
+		fmt.Fprint(w, `{"ticket":"t"}`)
+	default:
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.seen++
+		g.serve(w, r.Header)
+	}
+}
+
+func (g *gate) start(header http.Header) {
+	g.board.Begin(count.Start{VM: "vm", Team: "floor", WorkID: header.Get(worker.HeaderWorkID)}, time.Now()).End(time.Now(), false)
+}
+
+func (g *gate) serve(w http.ResponseWriter, header http.Header) {
+	size, _ := strconv.Atoi(header.Get(worker.HeaderAnswerBytes))
+	answer := worker.Answer(header.Get(worker.HeaderWorkID), size)
+	first := g.seen == 1
+	switch g.fault {
+	case "loses":
+	case "doubles":
+		g.start(header)
+		g.start(header)
+	case "says not-run of what ran":
+		g.start(header)
+		say(w, codes.NoUpstream, codes.NotRun)
+		return
+	case "says not-run":
+		say(w, codes.TeamLimit, codes.NotRun)
+		return
+	case "stops at first":
+		if first {
+			say(w, codes.GateStopping, codes.NotRun)
+			return
+		}
+		g.start(header)
+	case "breaks at first":
+		g.start(header)
+		if first {
+			panic(http.ErrAbortHandler)
+		}
+	case "outcome against its code":
+		g.start(header)
+		say(w, codes.OK, codes.Unknown)
+	case "without a code":
+		g.start(header)
+		return
+	case "short":
+		g.start(header)
+		answer = answer[:len(answer)/2]
+	case "crossed":
+		g.start(header)
+		answer = worker.Answer("another", size)
+	default:
+		g.start(header)
+	}
+	say(w, codes.OK, codes.Ran)
+	_, _ = w.Write(answer)
+}
+
+func say(w http.ResponseWriter, code codes.Code, outcome codes.Outcome) {
+	if w.Header().Get("Mango-Code") == "" {
+		w.Header().Set("Mango-Code", strconv.Itoa(int(code)))
+		w.Header().Set("Mango-Outcome", outcome.String())
+		w.WriteHeader(code.Entry().Status())
+	}
+}
+
+// runOne sends one piece of work through the gates and returns the totals.
+func runOne(t *testing.T, stream Stream, addresses []string, board *count.Board) *Report {
+	t.Helper()
+	balancer := NewBalancer(addresses)
+	balancer.CheckAll(t.Context())
+	results := &Results{streams: []Stream{stream}, verdicts: make([][]verdict, 1)}
+	c := caller{balancer: balancer, stream: &stream, id: "w"}
+	results.add(0, c.run(t.Context()))
+	stand := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		data, _ := board.JSON(true)
+		_, _ = w.Write(data)
+	}))
+	defer stand.Close()
+	counts, err := ReadCounts(t.Context(), stand.Listener.Addr().String())
+	assert.NilError(t, err)
+	return Check(results, counts, decl.Empty())
+}
+
+func newStream(repeat string, idempotent bool) Stream {
+	return Stream{name: "s", queue: "q", concurrency: 1, answerBytes: 30, repeat: repeat, idempotent: idempotent, timeout: time.Second}
+}
+
+func TestWhatIsFound(t *testing.T) {
+	scenarios := []struct {
+		testName   string
+		fault      string
+		repeat     string
+		idempotent bool
+		expected   totalsWire
+	}{
+		{"an honest gate", "", repeatTicket, false, totalsWire{Sent: 1, Ran: 1}},
+		{"a true not-run", "says not-run", repeatTicket, false, totalsWire{Sent: 1, NotRun: 1}},
+		{"said to have run, never started", "loses", repeatTicket, false, totalsWire{Sent: 1, Ran: 1, Lost: 1}},
+		{"started twice", "doubles", repeatTicket, false, totalsWire{Sent: 1, Ran: 1, Doubled: 1}},
+		{"started twice, idempotent", "doubles", repeatNone, true, totalsWire{Sent: 1, Ran: 1}},
+		{"false not-run", "says not-run of what ran", repeatTicket, false, totalsWire{Sent: 1, NotRun: 1, FalseNotRun: 1}},
+		{"not-run, then ran elsewhere", "stops at first", repeatTicket, false, totalsWire{Sent: 1, Ran: 1}},
+		{"broken, not repeatable", "breaks at first", repeatNone, false, totalsWire{Sent: 1, Unknown: 1}},
+		{"broken, repeated although it had run", "breaks at first", repeatKey, false, totalsWire{Sent: 1, Ran: 1, Doubled: 1}},
+		{"broken, idempotent", "breaks at first", repeatNone, true, totalsWire{Sent: 1, Ran: 1}},
+		{"outcome against its code", "outcome against its code", repeatNone, false, totalsWire{Sent: 1, Unknown: 1, Wrong: 1}},
+		{"without a code", "without a code", repeatNone, false, totalsWire{Sent: 1, Unknown: 1, Wrong: 1}},
+		{"short answer", "short", repeatNone, false, totalsWire{Sent: 1, Ran: 1, Wrong: 1}},
+		{"crossed answer", "crossed", repeatNone, false, totalsWire{Sent: 1, Ran: 1, Wrong: 1}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			board := &count.Board{}
+			server := httptest.NewServer(&gate{fault: s.fault, board: board})
+			defer server.Close()
+			report := runOne(t, newStream(s.repeat, s.idempotent), []string{server.Listener.Addr().String()}, board)
+			assert.Equal(t, report.w.Totals, s.expected, "%v", report.w.Found)
+			t2 := s.expected
+			assert.Equal(t, report.Failed(), t2.Lost+t2.Doubled+t2.FalseNotRun+t2.Wrong > 0)
+		})
+	}
+}
+
+func TestBalancerGoesOnWhereNoByteWasSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	board := &count.Board{}
+	unready := &gate{fault: "not ready", board: board}
+	good := &gate{board: board}
+	first, second := httptest.NewServer(unready), httptest.NewServer(good)
+	defer first.Close()
+	defer second.Close()
+	balancer := NewBalancer([]string{listener.Addr().String(), first.Listener.Addr().String(), second.Listener.Addr().String()})
+	balancer.CheckAll(t.Context())
+	balancer.setReady(listener.Addr().String(), true)
+	stream := newStream(repeatNone, false)
+	for range 3 {
+		c := caller{balancer: balancer, stream: &stream, id: "w"}
+		assert.Equal(t, c.run(t.Context()).outcome, codes.Ran)
+	}
+	assert.Equal(t, unready.seen, 0)
+	assert.Equal(t, good.seen, 3)
+}
+
+func TestNoAnswerAtAllIsLost(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	stream := newStream(repeatNone, false)
+	c := caller{balancer: NewBalancer(nil), stream: &stream, id: "w"}
+	results := &Results{streams: []Stream{stream}, verdicts: [][]verdict{{c.run(ctx)}}}
+	report := Check(results, Counts{}, decl.Empty())
+	assert.Equal(t, report.w.Totals, totalsWire{Sent: 1, Unknown: 1, Lost: 1})
+}
+
+func TestRate(t *testing.T) {
+	board := &count.Board{}
+	server := httptest.NewServer(&gate{board: board})
+	defer server.Close()
+	balancer := NewBalancer([]string{server.Listener.Addr().String()})
+	balancer.CheckAll(t.Context())
+	stream := newStream(repeatNone, false)
+	stream.rate, stream.concurrency = 100, 4
+	results := Run(t.Context(), balancer, []Stream{stream}, 200*time.Millisecond)
+	sent := len(results.verdicts[0])
+	assert.Assert(t, sent >= 1 && sent <= 20, "%d sent", sent)
+}
+
+func TestReport(t *testing.T) {
+	objects, err := decl.ReadINI([]byte("[team floor]\norganisation = o\nshare = 1\nlimit = 2\n"))
+	assert.NilError(t, err)
+	cfg, faults := decl.Compile(objects)
+	assert.Equal(t, len(faults), 0)
+	board := count.NewBoard(map[string]string{"q": "p", "r": "p2"})
+	for i, queue := range []string{"q", "q", "r"} {
+		board.Begin(count.Start{VM: "vm", Team: "floor", Queue: queue, WorkID: attemptID("w", i)}, time.Now())
+	}
+	data, err := board.JSON(true)
+	assert.NilError(t, err)
+	stand := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(data) }))
+	defer stand.Close()
+	counts, err := readOnce(t.Context(), stand.Listener.Addr().String())
+	assert.NilError(t, err)
+	results := &Results{streams: []Stream{newStream(repeatTicket, false)}, verdicts: [][]verdict{{
+		{id: "w", outcome: codes.Ran, answered: true, took: 2 * time.Millisecond},
+		{id: "x", outcome: codes.NotRun, code: codes.TeamLimit, answered: true},
+	}}}
+	var table, output strings.Builder
+	report := Check(results, counts, cfg)
+	assert.NilError(t, report.WriteTable(&table))
+	assert.NilError(t, report.WriteJSON(&output))
+	golden.Assert(t, table.String(), "report.golden")
+	golden.Assert(t, output.String(), "report-json.golden")
+}
+
+func TestReadMix(t *testing.T) {
+	scenarios := []struct {
+		testName      string
+		text          string
+		expectedError string
+	}{
+		{"good", "[stream a]\nqueue = q\nrate = 2.5\nrepeat = key\nidempotent = yes\ntimeout = 2s\n", ""},
+		{"no queue", "[stream a]\nrate = 1\n", "expected a queue"},
+		{"unknown key", "[stream a]\nqueue = q\nrat = 1\n", "rat: unknown key"},
+		{"unknown repeat", "[stream a]\nqueue = q\nrepeat = often\n", "expected none, ticket or key"},
+		{"another section", "[load a]\nqueue = q\n", "expected [stream NAME]"},
+		{"no such key file", "[stream a]\nqueue = q\nkey-file = /nowhere\n", "key-file"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			dir := fs.NewDir(t, "mix", fs.WithFile("mix.ini", s.text))
+			streams, err := ReadMix(dir.Join("mix.ini"))
+			if s.expectedError != "" {
+				assert.ErrorContains(t, err, s.expectedError)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, streams[0], Stream{"a", "q", "", 2.5, 1, 0, 0, 0, repeatKey, true, 2 * time.Second})
+		})
+	}
+}
--- /dev/null
+++ b/stand/load/mix.go
@@ -0,0 +1,113 @@
+package load
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"mangowing/core/decl"
+	"mangowing/core/record"
+)
+
+// Ways to make a request safe to repeat.
+const (
+	repeatNone   = "none"
+	repeatTicket = "ticket"
+	repeatKey    = "key"
+)
+
+// Stream is one team's load on one queue.
+type Stream struct {
+	name        string
+	queue       string
+	key         string
+	rate        float64
+	concurrency int
+	runMs       int
+	bodyBytes   int
+	answerBytes int
+	repeat      string
+	idempotent  bool
+	timeout     time.Duration
+}
+
+// ReadMix returns the streams of an INI file with a section [stream NAME] for each.
+func ReadMix(path string) ([]Stream, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "mix")
+	}
+	objects, err := decl.ReadINI(data)
+	if err != nil {
+		return nil, eris.Wrap(err, path)
+	}
+	var out []Stream
+	for _, o := range objects {
+		s, err := readStream(o)
+		if err != nil {
+			return nil, eris.Wrapf(err, "%s: [%s %s]", path, o.Kind(), o.Name())
+		}
+		out = append(out, s)
+	}
+	return out, nil
+}
+
+func readStream(o record.Object) (Stream, error) {
+	if o.Kind() != "stream" || o.Name() == "" {
+		return Stream{}, eris.New("expected [stream NAME]")
+	}
+	s := Stream{name: o.Name(), concurrency: 1, repeat: repeatTicket, timeout: 10 * time.Second}
+	for i := range o.Len() {
+		key, value := o.Field(i)
+		if err := s.set(key, strings.TrimSpace(value)); err != nil {
+			return Stream{}, eris.Wrap(err, key)
+		}
+	}
+	if s.queue == "" || s.concurrency < 1 {
+		return Stream{}, eris.New("expected a queue and a concurrency of at least 1")
+	}
+	return s, nil
+}
+
+func (s *Stream) set(key, value string) (err error) {
+	switch key {
+	case "queue":
+		s.queue = value
+	case "key-file":
+		s.key, err = readKey(value)
+	case "rate":
+		s.rate, err = strconv.ParseFloat(value, 64)
+	case "concurrency":
+		s.concurrency, err = strconv.Atoi(value)
+	case "run-ms":
+		s.runMs, err = strconv.Atoi(value)
+	case "body-bytes":
+		s.bodyBytes, err = strconv.Atoi(value)
+	case "answer-bytes":
+		s.answerBytes, err = strconv.Atoi(value)
+	case "timeout":
+		s.timeout, err = time.ParseDuration(value)
+	case "idempotent":
+		s.idempotent = value == "yes"
+	case "repeat":
+		s.repeat = value
+		if value != repeatNone && value != repeatTicket && value != repeatKey {
+			err = fmt.Errorf("%q: expected none, ticket or key", value)
+		}
+	default:
+		err = eris.New("unknown key")
+	}
+	return err
+}
+
+func readKey(path string) (string, error) {
+	data, err := os.ReadFile(path)
+	return strings.TrimSpace(string(data)), err
+}
+
+// repeatable tells whether a request may be sent again when its outcome is unknown.
+func (s *Stream) repeatable() bool { return s.idempotent || s.repeat != repeatNone }
--- a/stand/main.go
+++ b/stand/main.go
@@ -24,7 +24,7 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	root.AddCommand(serveCommand(), faultCommand())
+	root.AddCommand(serveCommand(), faultCommand(), loadCommand())
 	err := root.Execute()
 	if err == nil {
 		return
