Wire the planner and move VMs between pools

Cause: a move ended at its first step because nobody carried it on. The planner now learns the VM list, the drain acknowledgements of every gate of the VM's data centre and the demand. Ruled out: counting a silent gate as drained; only a refused connection counts as none.

--- a/gate/daemon/assemble.go
+++ b/gate/daemon/assemble.go
@@ -16,6 +16,7 @@
 	"mangowing/gate/daemon/admin"
 	"mangowing/gate/daemon/caller"
 	"mangowing/gate/daemon/peers"
+	"mangowing/gate/daemon/planner"
 	"mangowing/gate/daemon/queue"
 	"mangowing/gate/daemon/relay"
 	"mangowing/gate/daemon/state"
@@ -34,6 +35,8 @@
 	queues   *queue.Service
 	callers  *caller.Server
 	admin    *admin.Server
+	fleet    *fleetView
+	planner  *planner.Service
 	stopping atomic.Bool
 }
 
@@ -57,6 +60,10 @@
 		Process: g.process, States: g.control, Lists: g.vms, Members: g.members, Peers: g.network,
 		Workers: plat.NewWorkers(), Rights: rights, ReportLag: settings.reportLag,
 	})
+	g.fleet = &fleetView{process: g.process, control: g.control, vms: g.vms, queues: g.queues, workers: plat.NewWorkers()}
+	g.planner = planner.New(planner.Deps{
+		Process: g.process, State: g.control, Recorder: g.control, Platform: platform, Fleet: g.fleet,
+	})
 	runner := relay.NewRunner(g.process, g.queues, relay.NewUpstreams(), settings.retryPercent)
 	g.callers = caller.New(g.process, g.control, runner, nil, g.ready, caller.Options{
 		Address: settings.callerAddress, MaxBodyBytes: settings.maxBodyBytes,
@@ -97,6 +104,7 @@
 	tree.Add(named("timers", g.process.Timers().Serve))
 	tree.Add(g.controlTree())
 	tree.Add(g.trafficTree())
+	tree.Add(g.fleetTree())
 	tree.Add(named("admin", g.admin.Serve))
 	err := tree.Serve(ctx)
 	klog.InfoS("gate-ended", "incarnation", g.process.Incarnation())
@@ -123,6 +131,13 @@
 	return tree
 }
 
+func (g *gate) fleetTree() *suture.Supervisor {
+	tree := supervisor("fleet")
+	tree.Add(named("demand", g.fleet.Serve))
+	tree.Add(named("planner", g.planner.Serve))
+	return tree
+}
+
 func supervisor(name string) *suture.Supervisor {
 	return suture.New(name, suture.Spec{EventHook: func(e suture.Event) {
 		klog.InfoS("supervisor-event", "supervisor", name, "event", e.String())
--- /dev/null
+++ b/gate/daemon/fleet_helper.go
@@ -0,0 +1,139 @@
+package daemon
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"mangowing/core/fleet"
+	"mangowing/core/proc"
+	"mangowing/gate/daemon/queue"
+	"mangowing/gate/daemon/state"
+	"mangowing/gate/daemon/vmlist"
+	"mangowing/gate/plat"
+)
+
+const (
+	demandPeriod  = 2 * time.Second
+	demandTimeout = time.Second
+	ackTimeout    = 2 * time.Second
+)
+
+var errVMUnknown = eris.New("the VM is not in the list")
+
+// fleetView tells the planner what the gates see of the VMs.
+type fleetView struct {
+	process *proc.Process
+	control *state.Service
+	vms     *vmlist.Service
+	queues  *queue.Service
+	workers *plat.Workers
+	rows    atomic.Pointer[fleetRows]
+	demand  atomic.Pointer[[]queue.PoolDemand]
+}
+
+type fleetRows struct {
+	list *vmlist.List
+	rows []fleet.VMRow
+}
+
+// Serve gathers the demand while this gate holds the planner's lease, until the context ends.
+func (f *fleetView) Serve(ctx context.Context) error {
+	tick := f.process.Timers().Every(demandPeriod)
+	defer tick.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C():
+			f.gather(ctx)
+		}
+	}
+}
+
+func (f *fleetView) gather(ctx context.Context) {
+	if f.control.State().Lease().Holder() != f.process.Incarnation() {
+		f.demand.Store(nil)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, demandTimeout)
+	defer cancel()
+	found := f.queues.GatherDemand(ctx)
+	f.demand.Store(&found)
+}
+
+// VMRows returns the VM list; the slice changes only when the list does.
+func (f *fleetView) VMRows() []fleet.VMRow {
+	list := f.vms.List()
+	if held := f.rows.Load(); held != nil && held.list == list {
+		return held.rows
+	}
+	rows := make([]fleet.VMRow, 0, list.Len())
+	for _, name := range list.Names() {
+		vm, _ := list.VM(name)
+		rows = append(rows, fleet.NewVMRow(fleet.VMRowSpec{
+			Name: name, DataCentre: vm.DataCentre(), Rack: vm.Rack(), Generation: vm.Generation(),
+			State: vm.State(), Pool: vm.Pool(), Slots: vm.Slots(),
+		}))
+	}
+	f.rows.Store(&fleetRows{list, rows})
+	return rows
+}
+
+// DrainAcks returns whether every gate of the VM's data centre has stopped sending to it and how much still runs there.
+func (f *fleetView) DrainAcks(ctx context.Context, vm string, revision uint64) (all bool, running int, err error) {
+	row, ok := f.vms.List().VM(vm)
+	if !ok {
+		return false, 0, errVMUnknown
+	}
+	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
+	defer cancel()
+	all, outstanding := f.queues.DrainAcks(ctx, vm, row.DataCentre(), revision)
+	if !all || outstanding > 0 {
+		return all, outstanding, nil
+	}
+	report, err := f.workers.Running(ctx, row.Address())
+	if err != nil {
+		return all, 0, err
+	}
+	return all, len(report.Requests()), nil
+}
+
+// Health returns the VMs that the dispatchers send nothing to because they failed or could not be reached.
+func (f *fleetView) Health() []fleet.Health {
+	var out []fleet.Health
+	for _, d := range f.pools() {
+		for _, vm := range d.Ejected() {
+			out = append(out, fleet.NewHealth(vm, true, false))
+		}
+	}
+	return out
+}
+
+// Demand returns what each pool is asked for.
+func (f *fleetView) Demand() []fleet.PoolDemand {
+	sums := map[string]fleet.PoolDemand{}
+	var order []string
+	for _, d := range f.pools() {
+		sum, known := sums[d.Pool()]
+		if !known {
+			order = append(order, d.Pool())
+		}
+		sums[d.Pool()] = fleet.NewPoolDemand(d.Pool(), sum.Slots()+d.Running(), d.Waiting())
+	}
+	out := make([]fleet.PoolDemand, 0, len(order))
+	for _, pool := range order {
+		out = append(out, sums[pool])
+	}
+	return out
+}
+
+func (f *fleetView) pools() []queue.PoolDemand {
+	found := f.demand.Load()
+	if found == nil {
+		return nil
+	}
+	return *found
+}
--- /dev/null
+++ b/gate/daemon/planner/ack_collector.go
@@ -0,0 +1,36 @@
+package planner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"mangowing/core/fleet"
+)
+
+const ackTimeout = time.Second
+
+// collectAcks asks about all draining VMs at once; one without an answer is left out.
+func (s *Service) collectAcks(ctx context.Context, x *fleet.Index) []fleet.Ack {
+	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
+	defer cancel()
+	var (
+		mu  sync.Mutex
+		wg  sync.WaitGroup
+		out []fleet.Ack
+	)
+	for _, vm := range x.Draining() {
+		revision := x.State().VM(vm).Revision()
+		wg.Go(func() {
+			all, running, err := s.deps.Fleet.DrainAcks(ctx, vm, revision)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, fleet.NewAck(vm, revision, all, running))
+		})
+	}
+	wg.Wait()
+	return out
+}
--- /dev/null
+++ b/gate/daemon/planner/executor.go
@@ -0,0 +1,70 @@
+package planner
+
+import (
+	"context"
+
+	"k8s.io/klog/v2"
+
+	"mangowing/core/codes"
+	"mangowing/core/event"
+	"mangowing/core/fleet"
+	"mangowing/core/record"
+)
+
+// carryOut appends all steps as one batch and starts the platform calls.
+func (s *Service) carryOut(serveCtx, ctx context.Context, actions []fleet.Action) {
+	var records []record.Record
+	for _, action := range actions {
+		switch a := action.(type) {
+		case fleet.Step:
+			records = append(records, s.newRecord(record.NewVMStep(a.Spec())))
+		case fleet.WaveStep:
+			records = append(records, s.newRecord(a.Record()))
+		case fleet.Reboot, fleet.Reassign, fleet.Fence:
+			s.calls.start(serveCtx, s.lease.until, a)
+		}
+	}
+	if len(records) > 0 {
+		s.append(ctx, records)
+	}
+}
+
+func (s *Service) append(ctx context.Context, records []record.Record) {
+	ctx, cancel := context.WithTimeout(ctx, s.lease.renewal())
+	defer cancel()
+	verdicts, err := s.deps.Recorder.Append(ctx, records)
+	if err != nil {
+		klog.InfoS("planner-steps-not-appended", "records", len(records), "error", err.Error())
+		return
+	}
+	codeOf := make(map[string]codes.Code, len(verdicts))
+	for _, v := range verdicts {
+		codeOf[v.ID()] = v.Code()
+	}
+	for _, r := range records {
+		s.noteStep(r, codeOf[r.ID()])
+	}
+}
+
+func (s *Service) noteStep(r record.Record, code codes.Code) {
+	switch body := r.Body().(type) {
+	case record.VMStep:
+		step := body.Spec()
+		s.deps.Process.Events().Add("vm-step", event.About{VM: step.VM, Detail: step.State + " " + step.Target, Code: uint16(code)})
+		klog.InfoS("vm-step", "vm", step.VM, "state", step.State, "target", step.Target, "wave", step.Wave, "code", uint16(code))
+	case record.WaveStep:
+		detail := body.Wave() + " " + body.State() + ": " + body.Reason()
+		s.deps.Process.Events().Add("wave-step", event.About{Detail: detail, Code: uint16(code)})
+		klog.InfoS("wave-step", "wave", body.Wave(), "state", body.State(), "reason", body.Reason(), "code", uint16(code))
+	}
+}
+
+func (s *Service) noteAnswer(a answer) {
+	s.calls.note(a)
+	if a.err != nil {
+		klog.InfoS("platform-call-failed", "call", a.requestID, "error", a.err.Error())
+		return
+	}
+	s.deps.Process.Events().Add("platform-call", event.About{VM: a.vm, Detail: a.requestID})
+	klog.InfoS("platform-call", "vm", a.vm, "call", a.requestID)
+}
--- a/gate/daemon/queue/client.go
+++ b/gate/daemon/queue/client.go
@@ -196,7 +196,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		err := s.peers.Call(ctx, address, methodRelease, w, nil)
 		cancel()
-		if err == nil || errors.Is(err, peers.ErrRefused) {
+		if err == nil || refusedConnection(err) {
 			return
 		}
 		klog.V(1).InfoS("release-failed", "request", w.Request, "error", err.Error())
@@ -204,6 +204,8 @@
 	}
 }
 
+func refusedConnection(err error) bool { return errors.Is(err, peers.ErrRefused) }
+
 func (s *Service) ended(address, incarnation string) bool {
 	for _, m := range s.members.View().Members() {
 		if m.Address() == address {
--- a/gate/daemon/queue/dispatcher.go
+++ b/gate/daemon/queue/dispatcher.go
@@ -72,6 +72,7 @@
 	slots   int
 	teams   []share.TeamSnapshot
 	vms     []VMLoad
+	ejected []string
 }
 
 // Waiting returns the number of requests that wait.
@@ -186,7 +187,12 @@
 	for _, g := range d.grants {
 		counts[g.vm]++
 	}
-	l := PoolLoad{d.scheduler.Waiting(), len(d.grants), d.slots, d.scheduler.Snapshot(), nil}
+	l := PoolLoad{d.scheduler.Waiting(), len(d.grants), d.slots, d.scheduler.Snapshot(), nil, nil}
+	for _, t := range d.balancer.Snapshot(time.Now()) {
+		if t.Ejected() {
+			l.ejected = append(l.ejected, t.Name())
+		}
+	}
 	for vm, n := range counts {
 		l.vms = append(l.vms, VMLoad{vm, n})
 	}
--- a/gate/daemon/queue/service.go
+++ b/gate/daemon/queue/service.go
@@ -102,6 +102,7 @@
 	s.peers.Handle(methodCancel, s.answerCancel)
 	s.peers.Handle(methodRelease, s.answerRelease)
 	s.peers.Handle(methodDrained, s.answerDrained)
+	s.peers.Handle(methodLoad, s.answerLoad)
 	return s
 }
 
