Decide moves, maintenance waves and reactions to failures as a pure function

Plan turns agreed state, VM list, acknowledgements and signs of failure into steps and platform calls. The fold also keeps by which revision a VM was maintained: the wave of its last step, used before, was lost by a later move and the VM rebooted again. A hand-over of rights to an undeclared data centre is refused; it took rights out of use.

Not measured: processor time.

--- /dev/null
+++ b/core/fleet/plan_test.go
@@ -0,0 +1,316 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangowing/core/codes"
+	"mangowing/core/fold"
+	"mangowing/core/record"
+)
+
+const (
+	waveTicks = 3000
+	fewTicks  = 200
+)
+
+func autumnWave() record.Object {
+	return record.NewObject("wave", "autumn", 0).With("pools", "pour").With("min-serving", "8").With("pace", "4").With("abort-faults", "1")
+}
+
+func TestManualMoveIsCarriedOn(t *testing.T) {
+	w := twoPools(t)
+	w.running["spare-01"] = 3
+	w.move("spare-01", "pour")
+	for range fewTicks {
+		w.tick()
+	}
+	assert.Equal(t, w.state().VM("spare-01").State(), fold.VMDraining, "work still runs")
+	w.running["spare-01"] = 0
+	w.run(fewTicks, w.isServing("spare-01", "pour"))
+	assert.Equal(t, w.rows["spare-01"].Pool, "pour")
+	assert.Assert(t, w.state().VM("spare-01").Manual())
+}
+
+func TestMoveWaitsForEveryGate(t *testing.T) {
+	w := twoPools(t)
+	w.silent = true
+	w.move("spare-01", "pour")
+	for range fewTicks {
+		w.tick()
+	}
+	assert.Equal(t, w.state().VM("spare-01").State(), fold.VMDraining, "a gate may still send to the VM")
+	stale := w.view()
+	stale.Acks = []Ack{NewAck("spare-01", w.state().VM("spare-01").Revision()-1, true, 0)}
+	assert.Equal(t, len(Plan(stale)), 0, "an acknowledgement of another revision")
+}
+
+func TestTransferEndsWhenFailuresMakeTheVMNecessary(t *testing.T) {
+	w := twoPools(t)
+	w.silent = true
+	w.transfers = []Transfer{NewTransfer("spare", "pour", 4)}
+	w.tick()
+	w.transfers = nil
+	assert.Equal(t, w.serving("spare"), 6)
+	w.change("spare-10", func(r *VMRowSpec) { r.State = PlatformGone })
+	w.change("spare-09", func(r *VMRowSpec) { r.State = PlatformGone })
+	w.tick()
+	assert.Equal(t, w.serving("spare"), 6)
+}
+
+func TestDrainEndsWithoutWorkWhenItsLeasesLapsed(t *testing.T) {
+	w := twoPools(t)
+	w.running["spare-01"] = 3
+	w.health["spare-01"] = NewHealth("spare-01", false, true)
+	w.move("spare-01", "pour")
+	w.run(fewTicks, w.isServing("spare-01", "pour"))
+}
+
+func TestWaveMaintainsEveryVMWithinItsBudgets(t *testing.T) {
+	w := twoPools(t, autumnWave())
+	w.startWave("autumn")
+	w.run(waveTicks, func() bool {
+		out := w.outForMaintenance("autumn")
+		assert.Assert(t, len(out) <= 2, "minimum of 8 leaves room for 2, out are %v", out)
+		for _, name := range out {
+			assert.Equal(t, w.rows[name].Rack, w.rows[out[0]].Rack, "one failure domain at a time")
+		}
+		return w.waveIs("autumn", fold.WaveDone)()
+	})
+	assert.Equal(t, len(w.reboots), 10)
+	for vm, n := range w.reboots {
+		assert.Equal(t, n, 1, vm)
+	}
+	assert.Equal(t, w.worst["pour"], 8)
+}
+
+func TestWaveKeepsItsPaceInOneFailureDomain(t *testing.T) {
+	wave := record.NewObject("wave", "winter", 0).With("pace", "3").With("min-serving", "2")
+	scenarios := []struct {
+		testName string
+		wave     record.Object
+		expected int
+	}{
+		{"pace of the wave", wave, 3},
+		{"a rack holds four", record.NewObject("wave", "winter", 0).With("pace", "9").With("min-serving", "2"), 4},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			w := newWorld(t, record.NewObject("fleet", "vlnka", 0).With("data-centres", "dc-0"), s.wave,
+				record.NewObject("pool", "pour", 0).With("vms", "pour-[01-30]"))
+			w.startWave("winter")
+			most := 0
+			w.run(waveTicks, func() bool {
+				most = max(most, len(w.outForMaintenance("winter")))
+				return w.waveIs("winter", fold.WaveDone)()
+			})
+			assert.Equal(t, most, s.expected)
+		})
+	}
+}
+
+func TestWaveCountsVMsLostToFailures(t *testing.T) {
+	w := twoPools(t, autumnWave())
+	w.startWave("autumn")
+	w.run(fewTicks, func() bool { return len(w.outForMaintenance("autumn")) == 2 })
+	for _, vm := range []string{"pour-05", "pour-06", "pour-07", "pour-08"} {
+		w.change(vm, func(r *VMRowSpec) { r.State = PlatformGone })
+	}
+	w.tick()
+	w.tick()
+	assert.Equal(t, len(w.outForMaintenance("autumn")), 0, "drains end early when the VM is needed")
+	for range fewTicks {
+		w.tick()
+		assert.Equal(t, len(w.outForMaintenance("autumn")), 0, "nothing starts while VMs are lost")
+	}
+	for _, vm := range []string{"pour-05", "pour-06", "pour-07", "pour-08"} {
+		w.change(vm, func(r *VMRowSpec) { r.State, r.Generation = PlatformLive, r.Generation+1 })
+	}
+	w.run(waveTicks, w.waveIs("autumn", fold.WaveDone))
+}
+
+func TestWavePausesByItself(t *testing.T) {
+	w := twoPools(t, autumnWave())
+	for _, vm := range []string{"pour-01", "pour-02"} {
+		w.neverBack[vm] = true
+	}
+	w.startWave("autumn")
+	w.run(waveTicks, w.waveIs("autumn", fold.WavePaused))
+	assert.Equal(t, w.state().Wave("autumn").Reason(), "2 VMs did not come back, last pour-02")
+	assert.Equal(t, w.state().VM("pour-01").State(), fold.VMQuarantined)
+	for range fewTicks {
+		w.tick()
+	}
+	assert.Equal(t, len(w.reboots), 2, "nothing more starts")
+	w.neverBack = map[string]bool{}
+	w.run(fewTicks, w.isServing("pour-01", "pour"))
+	w.startWave("autumn")
+	w.run(waveTicks, w.waveIs("autumn", fold.WaveDone))
+}
+
+func TestFreezeWindow(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		freeze   string
+		atMs     int64
+		started  bool
+	}{
+		{"no window", "", startMs, true},
+		{"before it", "12:30-13:00", startMs, true},
+		{"inside it", "11:00-13:00", startMs, false},
+		{"its end is open", "11:00-12:00", startMs, true},
+		{"past midnight", "22:00-05:00", 4 * time.Hour.Milliseconds(), false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			wave := autumnWave()
+			if s.freeze != "" {
+				wave = wave.With("freeze", s.freeze)
+			}
+			w := twoPools(t, wave)
+			w.nowMs = s.atMs
+			w.startWave("autumn")
+			w.tick()
+			assert.Equal(t, len(w.outForMaintenance("autumn")) > 0, s.started)
+		})
+	}
+}
+
+func TestFreezeWindowEndsDrains(t *testing.T) {
+	w := twoPools(t, autumnWave().With("freeze", "12:01-13:00"))
+	w.running["pour-01"], w.running["pour-02"] = 1, 1
+	w.startWave("autumn")
+	w.tick()
+	assert.Equal(t, len(w.outForMaintenance("autumn")), 2)
+	w.nowMs += time.Minute.Milliseconds()
+	w.tick()
+	assert.Equal(t, len(w.outForMaintenance("autumn")), 0)
+}
+
+func TestPlannerReplacedAtEveryTick(t *testing.T) {
+	w := twoPools(t, autumnWave())
+	w.startWave("autumn")
+	w.move("spare-01", "pour")
+	holder := 0
+	w.run(waveTicks, func() bool {
+		holder++
+		w.append(record.NewLease("gate-"+string(rune('a'+holder%26)), w.state().Lease().Revision(), 6000))
+		if holder%3 == 0 {
+			w.answered = &RequestIDs{}
+			w.loseAnswers = 1
+		}
+		return w.waveIs("autumn", fold.WaveDone)()
+	})
+	for vm, n := range w.reboots {
+		assert.Equal(t, n, 1, "a repeated call has the same request id: %s", vm)
+	}
+	assert.Equal(t, w.state().VM("spare-01").Pool(), "pour")
+	assert.Assert(t, w.worst["pour"] >= 8)
+}
+
+func TestPausedPlannerIsFenced(t *testing.T) {
+	w := twoPools(t, autumnWave())
+	w.startWave("autumn")
+	stale := Plan(w.view())
+	assert.Equal(t, len(stale), 2)
+	w.append(record.NewLease("gate-2", w.state().Lease().Revision(), 6000))
+	w.execute(stale)
+	assert.Equal(t, w.refused[codes.FencedOff], 2)
+	w.run(waveTicks, w.waveIs("autumn", fold.WaveDone))
+	assert.Assert(t, w.worst["pour"] >= 8)
+}
+
+func TestDoubledPlannerAndOperatorKeepTheBudget(t *testing.T) {
+	w := twoPools(t, autumnWave())
+	w.startWave("autumn")
+	first, second := Plan(w.view()), Plan(w.view())
+	w.move("pour-09", "spare")
+	w.execute(first)
+	w.execute(second)
+	assert.Equal(t, w.refused[codes.BudgetSpent], 2, "the operator's move took one of two places: both planners' second drain is refused")
+	w.run(waveTicks, w.waveIs("autumn", fold.WaveDone))
+	assert.Assert(t, w.worst["pour"] >= 8)
+}
+
+func TestTwoSignsMakeAVMDead(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		health   Health
+		list     string
+		expected string
+		fenced   bool
+	}{
+		{"healthy", Health{}, PlatformLive, fold.VMServing, false},
+		{"unreachable only", NewHealth("pour-01", true, false), PlatformLive, fold.VMServing, false},
+		{"leases lapsed only", NewHealth("pour-01", false, true), PlatformLive, fold.VMServing, false},
+		{"unreachable and leases lapsed", NewHealth("pour-01", true, true), PlatformLive, fold.VMQuarantined, true},
+		{"leaving", Health{}, PlatformLeaving, fold.VMLeaving, false},
+		{"gone", Health{}, PlatformGone, fold.VMLeaving, false},
+		{"gone and unreachable", NewHealth("pour-01", true, false), PlatformGone, fold.VMLeaving, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			w := twoPools(t)
+			w.health["pour-01"] = s.health
+			if s.health == (Health{}) {
+				delete(w.health, "pour-01")
+			}
+			w.change("pour-01", func(r *VMRowSpec) { r.State = s.list })
+			w.tick()
+			w.tick()
+			assert.Equal(t, w.state().VM("pour-01").State(), s.expected)
+			assert.Equal(t, len(w.platform) == 1, s.fenced)
+			delete(w.health, "pour-01")
+			w.change("pour-01", func(r *VMRowSpec) { r.State, r.Generation = PlatformLive, 2 })
+			w.run(fewTicks, w.isServing("pour-01", "pour"))
+		})
+	}
+}
+
+func TestVMThatLeavesWhileMovingReturnsToItsAgreedPool(t *testing.T) {
+	w := twoPools(t)
+	w.move("spare-01", "pour")
+	w.loseAnswers = 1
+	w.run(fewTicks, func() bool { return w.rows["spare-01"].Pool == "pour" })
+	w.change("spare-01", func(r *VMRowSpec) { r.State = PlatformLeaving })
+	w.run(fewTicks, func() bool { return w.state().VM("spare-01").State() == fold.VMLeaving })
+	w.change("spare-01", func(r *VMRowSpec) { r.State = PlatformLive })
+	w.run(fewTicks, w.isServing("spare-01", "spare"))
+	assert.Equal(t, w.rows["spare-01"].Pool, "spare")
+}
+
+func TestTransfersKeepMinimumAndStay(t *testing.T) {
+	w := twoPools(t)
+	w.transfers = []Transfer{NewTransfer("spare", "pour", 9)}
+	w.run(fewTicks, func() bool { return w.serving("pour") == 14 })
+	assert.Equal(t, w.worst["spare"], 6)
+	w.transfers = []Transfer{NewTransfer("pour", "spare", 4)}
+	w.tick()
+	for _, name := range w.state().VMNames() {
+		vm := w.state().VM(name)
+		assert.Assert(t, vm.State() != fold.VMDraining || w.state().Config().Home(name) == "pour", "%s has just moved", name)
+	}
+}
+
+func TestVMsOfAnUndeclaredPoolGoHome(t *testing.T) {
+	w := twoPools(t)
+	base := func(kind, name string) uint64 { _, r := w.state().Object(kind, name); return r }
+	v := w.append(record.NewChange([]record.Object{
+		record.NewObject("pool", "pour", base("pool", "pour")).AsRemoved(),
+		record.NewObject("pool", "press", 0).With("vms", "pour-[01-10]").With("min-serving", "4"),
+	}, ""))
+	assert.Equal(t, v.Code(), codes.OK, "%v", v.Faults())
+	w.run(fewTicks, func() bool { return w.serving("press") == 10 })
+}
+
+func TestNothingIsDoneWithoutLeaseOrList(t *testing.T) {
+	w := twoPools(t, autumnWave())
+	w.startWave("autumn")
+	v := w.view()
+	v.Token = 0
+	assert.Equal(t, len(Plan(v)), 0, "no lease")
+	w.rows = map[string]VMRowSpec{}
+	assert.Equal(t, len(Plan(w.view())), 0, "no VM list: the wave is not called done")
+}
--- a/core/fold/folder.go
+++ b/core/fold/folder.go
@@ -96,6 +96,12 @@
 	return verdicts, nil
 }
 
+// Recall returns the verdict on a record folded lately, and whether it is still remembered.
+func (f *Folder) Recall(id string) (Verdict, bool) {
+	code, ok := f.recent[id]
+	return Verdict{id: id, code: code}, ok
+}
+
 func (f *Folder) mixDigest(data []byte) {
 	var previous [8]byte
 	binary.LittleEndian.PutUint64(previous[:], f.state.digest)
@@ -211,10 +217,28 @@
 	if problem := checkVMStep(current, s); problem != "" {
 		return refuse(codes.RevisionConflict, problem)
 	}
-	f.state.vms.set(s.VM, VM{vmWire{f.state.seq, r.AtMs(), s.Generation, s.State, s.Pool, s.Target, s.Wave}})
+	if s.State == VMDraining && s.Pool != "" && f.state.Serving(s.Pool) <= f.state.MinServing(s.Pool) {
+		return refuse(codes.BudgetSpent, "pool "+s.Pool+" is at its minimum of serving VMs")
+	}
+	f.state.vms.set(s.VM, VM{nextVM(current.w, s, f.state.seq, r.AtMs())})
 	return Verdict{}
 }
 
+func nextVM(current vmWire, s record.VMStepSpec, seq uint64, atMs int64) vmWire {
+	next := vmWire{
+		Revision: seq, Since: atMs, Generation: s.Generation,
+		State: s.State, Pool: s.Pool, Target: s.Target, Wave: s.Wave,
+		Manual: current.Manual, Maintained: current.Maintained,
+	}
+	if s.State == VMDraining {
+		next.Manual = s.Token == 0 && s.Target != ""
+	}
+	if current.State == VMRebooting && s.State == VMServing {
+		next.Maintained = seq
+	}
+	return next
+}
+
 func (f *Folder) applyClaim(c record.Claim) Verdict {
 	key := claimKey(c.Team(), c.Key())
 	if _, ok := f.state.claims.get(key); ok {
@@ -375,7 +399,8 @@
 	next := allotState{Revision: f.state.seq, Split: maps.Clone(current.Split), Pending: current.Pending}
 	switch a.Phase() {
 	case "intent":
-		if current.Pending != nil || a.Count() <= 0 || a.Count() > current.Split[a.From()] || a.From() == a.To() {
+		_, declared := current.Split[a.To()]
+		if current.Pending != nil || !declared || a.Count() <= 0 || a.Count() > current.Split[a.From()] || a.From() == a.To() {
 			return refuse(codes.RevisionConflict, "no such hand-over is possible")
 		}
 		next.Pending = &pendingAllot{a.From(), a.To(), a.Count()}
--- a/core/fold/state.go
+++ b/core/fold/state.go
@@ -48,6 +48,8 @@
 	Pool       string `json:"pool"`
 	Target     string `json:"target,omitempty"`
 	Wave       string `json:"wave,omitempty"`
+	Manual     bool   `json:"manual,omitempty"`
+	Maintained uint64 `json:"maintained,omitempty"`
 }
 
 // Revision returns the revision that the next step must name as its base, 0 for a VM without a step.
@@ -71,6 +73,12 @@
 // Wave returns the wave that caused the last step, empty for none.
 func (v VM) Wave() string { return v.w.Wave }
 
+// Manual tells whether an operator asked for the last move.
+func (v VM) Manual() bool { return v.w.Manual }
+
+// Maintained returns the revision at which the VM last came back from a reboot, 0 for never.
+func (v VM) Maintained() uint64 { return v.w.Maintained }
+
 // Lease is the planner's lease as the log has it.
 type Lease struct {
 	w leaseWire
@@ -129,7 +137,7 @@
 // StartedMs returns the writer's wall clock at the start in Unix milliseconds.
 func (w Wave) StartedMs() int64 { return w.w.StartedMs }
 
-// Run returns the revision of the wave's last start; VMs stepped by the wave since then are done.
+// Run returns the revision of the wave's last start; VMs maintained since then are done.
 func (w Wave) Run() uint64 { return w.w.Run }
 
 // Claim is the first claim on an idempotency key.
@@ -281,6 +289,36 @@
 // VMNames returns the names of all VMs that had a step, in order.
 func (s *State) VMNames() []string { return s.vms.keys() }
 
+// Serving returns how many VMs of the pool are agreed to be serving.
+func (s *State) Serving(pool string) int {
+	n := 0
+	p, _ := s.Config().Pool(pool)
+	for _, name := range p.VMs() {
+		if _, stepped := s.vms.get(name); !stepped {
+			n++
+		}
+	}
+	for _, v := range s.vms.all() {
+		if v.Pool() == pool && v.State() == VMServing {
+			n++
+		}
+	}
+	return n
+}
+
+// MinServing returns how many VMs of the pool must keep serving: the most of its own minimum and those of the running waves over it.
+func (s *State) MinServing(pool string) int {
+	p, _ := s.Config().Pool(pool)
+	least := p.MinServing()
+	for name, w := range s.waves.all() {
+		declared, ok := s.Config().Wave(name)
+		if ok && w.State() == WaveRunning && declared.Covers(pool) {
+			least = max(least, declared.MinServing())
+		}
+	}
+	return least
+}
+
 // Wave returns the progress of a wave, that of a planned one where no step was taken.
 func (s *State) Wave(name string) Wave {
 	if w, ok := s.waves.get(name); ok {
--- a/core/fold/table.go
+++ b/core/fold/table.go
@@ -1,6 +1,7 @@
 package fold
 
 import (
+	"iter"
 	"maps"
 	"slices"
 
@@ -75,6 +76,19 @@
 	return out
 }
 
+// all yields every entry in no particular order.
+func (t *table[V]) all() iter.Seq2[string, V] {
+	return func(yield func(string, V) bool) {
+		for _, shard := range t.shards {
+			for key, v := range shard {
+				if !yield(key, v) {
+					return
+				}
+			}
+		}
+	}
+}
+
 func (t *table[V]) toMap() map[string]V {
 	out := make(map[string]V, t.n)
 	for _, shard := range t.shards {
