Ask another gate when the platform's log did not answer a change

Cause: a gate answers 403 not-yet-in-force when the append's outcome is unknown; mango took that as the end although the same id may be sent again through another gate. No further try begins after 30 s. An answer that is in force at fewer gates than there are says so. Ruled out: trying without a bound, since each gate waits up to 18 s. Not measured.

--- a/mango/gates/client.go
+++ b/mango/gates/client.go
@@ -19,9 +19,11 @@
 
 const (
 	// A change is tried at each gate this often before its outcome is called unknown.
-	rounds         = 3
-	dialTimeout    = 2 * time.Second
-	callTimeout    = 20 * time.Second
+	rounds      = 3
+	dialTimeout = 2 * time.Second
+	callTimeout = 20 * time.Second
+	// No further try begins after this time.
+	callBudget     = 30 * time.Second
 	maxAnswerBytes = 64 << 20
 )
 
@@ -72,32 +74,31 @@
 		return Result{}, err
 	}
 	var r Result
-	if err := c.Do(ctx, Call{Method: http.MethodPost, Path: path, Body: payload}, &r); err != nil {
-		return r, err
-	}
-	return r, refusal(r)
+	err = c.Do(ctx, Call{Method: http.MethodPost, Path: path, Body: payload}, &r)
+	return r, err
 }
 
 // Do sends the call until a gate answers and decodes the answer into out; errors are *Refused or *Unreachable.
 func (c *Client) Do(ctx context.Context, call Call, out any) error {
 	failed := &Unreachable{}
 	wait := backoff.NewExponentialBackOff()
+	begun := time.Now()
 	for round := range rounds {
 		if round > 0 && !pause(ctx, wait.NextBackOff()) {
 			break
 		}
-		if done, err := c.askAll(ctx, call, out, failed); done {
+		if done, err := c.askAll(ctx, call, out, failed, begun.Add(callBudget)); done {
 			return err
 		}
 	}
-	if failed.last != nil && !failed.received {
-		return failed.last
-	}
-	return failed
+	return failed.verdict()
 }
 
-func (c *Client) askAll(ctx context.Context, call Call, out any, failed *Unreachable) (bool, error) {
+func (c *Client) askAll(ctx context.Context, call Call, out any, failed *Unreachable, until time.Time) (bool, error) {
 	for _, gate := range c.spec.Gates {
+		if time.Now().After(until) {
+			return true, failed.verdict()
+		}
 		err := c.ask(ctx, gate, call, out)
 		var refused *Refused
 		switch {
@@ -116,7 +117,12 @@
 
 // elsewhere tells whether another gate may answer better.
 func elsewhere(c codes.Code) bool {
-	return c == codes.GateNotReady || c == codes.GateStopping || c == codes.LogUnavailable || c == codes.DispatcherLost
+	switch c {
+	case codes.GateNotReady, codes.GateStopping, codes.LogUnavailable, codes.NotYetInForce, codes.DispatcherLost:
+		return true
+	default:
+		return false
+	}
 }
 
 func surelyUnsent(err error) bool {
@@ -158,6 +164,9 @@
 	if err := json.Unmarshal(data, out); err != nil {
 		return fmt.Errorf("malformed answer: %w", err)
 	}
+	if r, ok := out.(*Result); ok {
+		return refusal(*r)
+	}
 	return nil
 }
 
--- a/mango/gates/errors.go
+++ b/mango/gates/errors.go
@@ -59,6 +59,14 @@
 	}
 }
 
+// verdict returns the last refusal if no gate can have acted, else the whole account.
+func (u *Unreachable) verdict() error {
+	if u.last != nil && !u.received {
+		return u.last
+	}
+	return u
+}
+
 func refusal(r Result) error {
 	if r.Code() == codes.OK {
 		return nil
--- a/mango/show/declarations.go
+++ b/mango/show/declarations.go
@@ -28,7 +28,11 @@
 	if slowest != "" {
 		line += fmt.Sprintf(", slowest %s after %d ms", slowest, after/time.Millisecond)
 	}
-	return line + "\n"
+	line += "\n"
+	if missing := a.result.Gates() - a.result.InForce(); missing > 0 {
+		line += fmt.Sprintf("not confirmed by %d of them yet: see mango status\n", missing)
+	}
+	return line
 }
 
 // Differences is what a directory declares differently from what is in force.
