Ask every address twice in a recount of rights

A process is born at an address that a recount has counted already, as empty or as another incarnation; an older recount, whose initiator has not been asked yet, counts the newborn and gives it rights, which the later recount then mints again. Now every address is asked a second time after all have answered: no older recount can end by then, so whoever holds rights of one is alive and reports, or is dead and its work counts as orphaned. A recount that meets silence can be abandoned, which puts its members back to the epoch before, so that a silent gate stops no trade; the walk abandons, loses and repeats that too. A commit names the teams found above their allotment. With both rounds the missing roster no longer breaks the walk; that slip is shown with one round. Told sequences show the breach with one round only.

--- a/core/rights/ledger.go
+++ b/core/rights/ledger.go
@@ -19,6 +19,13 @@
 	sequence    uint64
 	received    map[string]*window
 	recount     *recount
+	undo        *previous
+}
+
+// previous is what the ledger goes back to when the initiator of the last epoch gives it up.
+type previous struct {
+	epoch    Epoch
+	received map[string]*window
 }
 
 // account is one team's rights; a negative spare is a debt that returning rights pay off.
@@ -48,6 +55,16 @@
 	return l.epoch == l.committed.w.Epoch && l.inRoster(l.incarnation) && l.folded >= l.committed.w.Basis
 }
 
+// Behind tells whether an allotment changed since the last committed recount began.
+func (l *Ledger) Behind() bool { return l.changed > l.committed.w.Basis }
+
+// Within tells whether a recount that rests on the state at the offset or later found all gates together within the
+// team's allotment.
+func (l *Ledger) Within(team string, offset uint64) bool {
+	_, over := slices.BinarySearch(l.committed.w.Over, team)
+	return l.Trading() && l.committed.w.Basis >= offset && !over
+}
+
 // Spare returns the team's rights free to spend; negative while a lowered limit's running work has to end.
 func (l *Ledger) Spare(team string) int { return l.view(team).spare }
 
--- a/core/rights/ledger_test.go
+++ b/core/rights/ledger_test.go
@@ -25,10 +25,10 @@
 		addresses = append(addresses, o.Incarnation())
 	}
 	q := initiator.BeginRecount(addresses, initiator.Incarnation())
-	for _, o := range others {
-		r, _, ok := o.Report(q)
-		assert.Assert(t, ok)
-		initiator.Counted(o.Incarnation(), r)
+	for range 2 {
+		for _, o := range others {
+			count(initiator, o.Incarnation(), o, q)
+		}
 	}
 	commit, ok := initiator.Finish([]TeamCount{NewTeamCount(team, limit)}, nil)
 	assert.Assert(t, ok)
@@ -144,10 +144,9 @@
 				}
 			}
 			q := a.BeginRecount([]string{"a", "b"}, "a")
-			r, _, ok := b.Report(q)
-			assert.Assert(t, ok)
-			a.Counted("b", r)
-			_, ok = a.Finish([]TeamCount{NewTeamCount(team, 5)}, nil)
+			count(a, "b", b, q)
+			count(a, "b", b, q)
+			_, ok := a.Finish([]TeamCount{NewTeamCount(team, 5)}, nil)
 			assert.Equal(t, ok, s.expected)
 		})
 	}
--- a/core/rights/message.go
+++ b/core/rights/message.go
@@ -140,6 +140,7 @@
 	Epoch  Epoch    `json:"epoch"`
 	Basis  uint64   `json:"basis"`
 	Roster []string `json:"roster"`
+	Over   []string `json:"over,omitempty"`
 }
 
 // Epoch returns the recount's epoch.
--- a/core/rights/recount.go
+++ b/core/rights/recount.go
@@ -1,34 +1,66 @@
 package rights
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
-// recount is the initiator's side of one epoch.
+// recount is the initiator's side of one epoch. Every address is asked a second time after all others: a process born
+// there meanwhile may have been counted, and given rights, in an older epoch that still went on.
 type recount struct {
 	epoch   Epoch
 	basis   uint64
+	others  []string
 	missing map[string]bool
+	again   bool
 	reports []Report
 }
 
-// BeginRecount takes a new epoch, counts this gate first and returns the question to every address but its own.
+// settle notes that the address was counted and begins the second round once the first is over.
+func (r *recount) settle(address string) {
+	delete(r.missing, address)
+	if len(r.missing) == 0 && !r.again {
+		r.askAll()
+		r.again = true
+	}
+}
+
+func (r *recount) askAll() {
+	r.missing = map[string]bool{}
+	for _, address := range r.others {
+		r.missing[address] = true
+	}
+}
+
+func (r *recount) knows(incarnation string) bool {
+	return slices.ContainsFunc(r.reports, func(known Report) bool {
+		return known.w.Incarnation == incarnation
+	})
+}
+
+// BeginRecount takes a new epoch, counts this gate first and returns the question to every address in Missing.
 // The addresses are all that the state at the folded offset declares for the data centre.
 func (l *Ledger) BeginRecount(addresses []string, own string) Query {
 	epoch := Epoch{epochWire{Number: max(l.highest, l.epoch.w.Number) + 1, Incarnation: l.incarnation}}
-	r := &recount{epoch: epoch, basis: l.folded, missing: map[string]bool{}}
+	r := &recount{epoch: epoch, basis: l.folded}
 	for _, address := range addresses {
 		if address != own {
-			r.missing[address] = true
+			r.others = append(r.others, address)
 		}
 	}
+	r.askAll()
 	l.take(epoch, l.folded)
 	r.reports = append(r.reports, l.report())
 	l.recount = r
 	return Query{queryWire{Epoch: epoch, Basis: r.basis}}
 }
 
-// Report takes the question's epoch and returns what the gate holds; false with the gate's own epoch where that is not below.
-// From then on the gate neither gives nor accepts under an older epoch.
+// Report takes the question's epoch and returns what the gate holds; false with the gate's own epoch where that is above.
+// From then on the gate neither gives nor accepts under an older epoch. The same question may be asked again.
 func (l *Ledger) Report(q Query) (Report, Epoch, bool) {
+	if q.w.Epoch == l.epoch {
+		return l.report(), l.epoch, true
+	}
 	if !q.w.Epoch.Above(l.epoch) {
 		return Report{}, l.epoch, false
 	}
@@ -47,15 +79,25 @@
 	if !l.counting() || r.w.Epoch != l.epoch || !l.recount.missing[address] {
 		return
 	}
-	delete(l.recount.missing, address)
-	l.recount.reports = append(l.recount.reports, r)
+	if !l.recount.knows(r.w.Incarnation) {
+		l.recount.reports = append(l.recount.reports, r)
+	}
+	l.recount.settle(address)
 }
 
 // CountedGone notes certain evidence that no process holds rights at the address: its connection is refused, or the VM list dropped it.
 func (l *Ledger) CountedGone(address string) {
-	if l.counting() {
-		delete(l.recount.missing, address)
+	if l.counting() && l.recount.missing[address] {
+		l.recount.settle(address)
+	}
+}
+
+// Missing returns the addresses that are still to be asked, in order; each comes up twice.
+func (l *Ledger) Missing() []string {
+	if !l.counting() {
+		return nil
 	}
+	return slices.Sorted(maps.Keys(l.recount.missing))
 }
 
 // Roll returns the incarnations counted so far, in order, and whether every address is counted.
@@ -68,7 +110,7 @@
 		roll = append(roll, r.w.Incarnation)
 	}
 	slices.Sort(roll)
-	return roll, len(l.recount.missing) == 0
+	return roll, l.recount.again && len(l.recount.missing) == 0
 }
 
 // Finish adds to this gate's spare rights what of each allotment nobody reported and no orphan occupies.
@@ -84,13 +126,35 @@
 		if free := c.Count() - occupied[c.Team()]; free > 0 {
 			l.open(c.Team()).spare += free
 		}
+		occupied[c.Team()] -= c.Count()
 	}
-	commit := Commit{commitWire{Epoch: l.epoch, Basis: l.recount.basis, Roster: roll}}
+	commit := Commit{commitWire{Epoch: l.epoch, Basis: l.recount.basis, Roster: roll, Over: aboveZero(occupied)}}
 	l.recount = nil
 	l.Commit(commit)
 	return commit, true
 }
 
+// Abandon gives this gate's recount up for good and returns the epoch that the members may forget, false where there is none.
+func (l *Ledger) Abandon() (Epoch, bool) {
+	if !l.counting() {
+		return Epoch{}, false
+	}
+	epoch := l.epoch
+	l.Revoke(epoch)
+	return epoch, true
+}
+
+// Revoke goes back to the epoch before the last one, whose initiator gave it up; any other epoch changes nothing.
+func (l *Ledger) Revoke(epoch Epoch) {
+	if epoch != l.epoch || epoch == l.committed.w.Epoch || l.undo == nil {
+		return
+	}
+	l.highest = max(l.highest, epoch.w.Number)
+	l.epoch, l.received = l.undo.epoch, l.undo.received
+	l.undo = nil
+	l.recount = nil
+}
+
 // Commit opens trade among the counted incarnations; false where the epoch is not the last one taken.
 func (l *Ledger) Commit(c Commit) bool {
 	if c.w.Epoch != l.epoch {
@@ -105,6 +169,7 @@
 
 // take makes the epoch the last one; transfers of older ones, repeats included, are refused from now on.
 func (l *Ledger) take(epoch Epoch, basis uint64) {
+	l.undo = &previous{l.epoch, l.received}
 	l.epoch = epoch
 	l.floor = max(l.floor, basis)
 	l.received = map[string]*window{}
@@ -143,6 +208,17 @@
 	return true
 }
 
+func aboveZero(counts map[string]int) []string {
+	var teams []string
+	for team, n := range counts {
+		if n > 0 {
+			teams = append(teams, team)
+		}
+	}
+	slices.Sort(teams)
+	return teams
+}
+
 func (l *Ledger) occupied(orphans []TeamCount) map[string]int {
 	sum := map[string]int{}
 	for _, r := range l.recount.reports {
--- a/core/rights/walk_harness_test.go
+++ b/core/rights/walk_harness_test.go
@@ -16,7 +16,7 @@
 	noCancel         slip = "no cancelling by a later epoch"
 	deadForgotten    slip = "work of dead gates forgotten"
 	noEpochOnGift    slip = "no epoch on transfers"
-	noRoster         slip = "no roster"
+	noRoster         slip = "no roster, addresses asked once"
 	noFreeze         slip = "no freeze during a recount"
 	noSequence       slip = "transfers added twice"
 	noBurn           slip = "lowered limit not burned"
@@ -28,6 +28,7 @@
 const (
 	walkTeam    = "paint"
 	walkMembers = 3
+	settleSteps = 1000
 )
 
 // walk is a random interleaving of everything that may befall the gates of one data centre.
@@ -47,12 +48,9 @@
 
 // walker is one incarnation and the part of its service that the walk plays.
 type walker struct {
-	ledger    *Ledger
-	address   int
-	addresses []string
-	asked     []string
-	query     Query
-	own       Epoch // the epoch held before a recount whose own count is taken last
+	ledger  *Ledger
+	address int
+	query   Query
 }
 
 type commitTo struct {
@@ -60,6 +58,11 @@
 	address int
 }
 
+type revokeTo struct {
+	epoch   Epoch
+	address int
+}
+
 func newWalk(seed uint64, s slip, mayRelimit bool) *walk {
 	w := &walk{r: rand.New(rand.NewPCG(seed, 7)), slip: s, mayRelimit: mayRelimit, deaths: 0.03}
 	if seed%2 == 1 {
@@ -157,10 +160,9 @@
 	if peer == nil || spare < 1 {
 		return
 	}
-	kept := m.ledger.committed
-	w.loosen(m.ledger, peer.ledger.Incarnation())
+	restore := w.loosen(m.ledger, peer.ledger.Incarnation())
 	t, ok := m.ledger.Give(walkTeam, 1+w.r.IntN(spare), peer.ledger.Incarnation())
-	m.ledger.committed = kept
+	restore()
 	if !ok {
 		return
 	}
@@ -170,15 +172,19 @@
 	}
 }
 
-// loosen removes the guard on transfers that the slip leaves out.
-func (w *walk) loosen(l *Ledger, peer string) {
-	recounting := l.epoch != l.committed.w.Epoch
-	if w.slip == noEpochOnGift || w.slip == noRoster || w.slip == noFreeze && recounting {
+// loosen removes the guard on transfers that the slip leaves out and returns how to put it back.
+func (w *walk) loosen(l *Ledger, peer string) (restore func()) {
+	committed, epoch := l.committed, l.epoch
+	switch w.slip {
+	case noFreeze:
+		l.epoch = l.committed.w.Epoch
+	case noRoster:
+		l.committed.w.Roster = sortedRoster(l.committed.w.Roster, l.incarnation, peer)
+	case noEpochOnGift:
 		l.committed.w.Roster = sortedRoster(l.committed.w.Roster, l.incarnation, peer)
-	}
-	if w.slip == noEpochOnGift || w.slip == noFreeze {
 		l.committed.w.Epoch = l.epoch
 	}
+	return func() { l.committed, l.epoch = committed, epoch }
 }
 
 func sortedRoster(roster []string, more ...string) []string {
@@ -198,6 +204,10 @@
 			m.ledger.take(message.commit.Epoch(), 0)
 		}
 		m.ledger.Commit(message.commit)
+	case revokeTo:
+		if m := w.members[message.address]; m != nil {
+			m.ledger.Revoke(message.epoch)
+		}
 	case Transfer:
 		for _, m := range w.members {
 			if m != nil && m.ledger.Incarnation() == message.To() {
@@ -208,8 +218,7 @@
 }
 
 func (w *walk) accept(l *Ledger, t Transfer) {
-	kept := l.committed
-	w.loosen(l, t.From())
+	defer w.loosen(l, t.From())()
 	switch w.slip {
 	case noEpochOnGift:
 		t.w.Epoch = l.epoch
@@ -217,66 +226,77 @@
 		l.received = map[string]*window{}
 	}
 	l.Accept(t)
-	l.committed = kept
 }
 
 func (w *walk) recountStep(m *walker) {
-	if len(m.addresses) == 0 {
-		w.begin(m)
+	counting := m.ledger.recount
+	if counting == nil || counting.epoch != m.ledger.epoch && w.slip != ownCountLast && w.slip != noCancel {
+		if w.r.Float64() < 0.15 {
+			w.begin(m)
+		}
 		return
 	}
-	if len(m.asked) < len(m.addresses) {
+	if len(counting.missing) > 0 {
 		w.ask(m)
 		return
 	}
 	w.finish(m)
-	m.addresses, m.asked = nil, nil
+	m.ledger.recount = nil
 }
 
 func (w *walk) begin(m *walker) {
-	m.asked = nil
-	m.addresses = m.addresses[:0]
-	for i := range walkMembers {
-		if i != m.address {
-			m.addresses = append(m.addresses, fmt.Sprint(i))
-		}
+	var addresses []string
+	for address := range walkMembers {
+		addresses = append(addresses, fmt.Sprint(address))
 	}
-	w.r.Shuffle(len(m.addresses), func(i, j int) {
-		m.addresses[i], m.addresses[j] = m.addresses[j], m.addresses[i]
-	})
-	m.own = m.ledger.epoch
-	m.query = m.ledger.BeginRecount(append([]string{fmt.Sprint(m.address)}, m.addresses...), fmt.Sprint(m.address))
+	own := m.ledger.epoch
+	m.query = m.ledger.BeginRecount(addresses, fmt.Sprint(m.address))
 	if w.slip == ownCountLast {
-		m.ledger.epoch = m.own
+		m.ledger.epoch = own
 	}
 }
 
 func (w *walk) ask(m *walker) {
-	address := m.addresses[len(m.asked)]
+	if w.slip == ownCountLast || w.slip == noCancel {
+		kept := m.ledger.epoch
+		m.ledger.epoch = m.ledger.recount.epoch
+		defer func() { m.ledger.epoch = kept }()
+	}
+	missing := m.ledger.Missing()
+	address := missing[w.r.IntN(len(missing))]
 	peer := w.members[int(address[0]-'0')]
 	silent := w.r.Float64() < 0.1
 	if silent && w.slip != silenceIsDeath {
+		w.abandon(m)
 		return
 	}
-	m.asked = append(m.asked, address)
-	kept := m.ledger.epoch
-	if w.slip == ownCountLast || w.slip == noCancel {
-		if m.ledger.recount == nil {
-			m.addresses, m.asked = nil, nil
-			return
-		}
-		m.ledger.epoch = m.ledger.recount.epoch
+	if peer != nil && !silent {
+		w.report(m, peer, address)
+		return
 	}
-	defer func() {
-		if w.slip == ownCountLast || w.slip == noCancel {
-			m.ledger.epoch = kept
-		}
-	}()
-	if peer == nil || silent {
-		m.ledger.CountedGone(address)
+	m.ledger.CountedGone(address)
+	w.maybeAskOnce(m.ledger)
+}
+
+// maybeAskOnce leaves the second round out: it covers the roster's absence too, as far as the walks found.
+func (w *walk) maybeAskOnce(l *Ledger) {
+	if w.slip == noRoster && l.recount.again {
+		clear(l.recount.missing)
+	}
+}
+
+// abandon now and then gives a recount up that meets silence.
+func (w *walk) abandon(m *walker) {
+	if w.r.Float64() < 0.5 {
 		return
 	}
-	w.report(m, peer, address)
+	epoch, ok := m.ledger.Abandon()
+	if !ok {
+		return
+	}
+	for address := range walkMembers {
+		w.network = append(w.network, revokeTo{epoch, address})
+	}
 }
 
 func (w *walk) report(m, peer *walker, address string) {
@@ -294,17 +314,14 @@
 	}
 	if !ok {
 		m.ledger.Refused(epoch)
-		m.addresses, m.asked = nil, nil
 		return
 	}
 	m.ledger.Counted(address, r)
+	w.maybeAskOnce(m.ledger)
 }
 
 func (w *walk) finish(m *walker) {
 	l := m.ledger
-	if l.recount == nil {
-		return
-	}
 	kept := l.epoch
 	switch w.slip {
 	case ownCountLast:
@@ -380,15 +397,8 @@
 			w.follow(m)
 		}
 	}
-	for usableRecounts := 0; usableRecounts < 20 && usable < limit; usableRecounts++ {
-		m := w.members[0]
-		m.addresses = nil
-		for {
-			w.recountStep(m)
-			if len(m.addresses) == 0 {
-				break
-			}
-		}
+	for steps := 0; steps < settleSteps && usable < limit; steps++ {
+		w.recountStep(w.members[0])
 		usable = 0
 		for _, m := range w.members {
 			usable += max(0, m.ledger.Spare(walkTeam))
--- a/core/rights/walk_test.go
+++ b/core/rights/walk_test.go
@@ -12,8 +12,8 @@
 		mayRelimit bool
 		seeds      uint64
 	}{
-		{"fixed limit", false, 400},
-		{"limit raised and lowered", true, 400},
+		{"fixed limit", false, 1000},
+		{"limit raised and lowered", true, 1000},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
@@ -71,3 +71,61 @@
 		})
 	}
 }
+
+// A process is born at an address that a recount has counted, and is counted itself in an older one that still goes on.
+func TestAddressesAreAskedTwice(t *testing.T) {
+	scenarios := []struct {
+		testName       string
+		before         *Ledger
+		askAgain       bool
+		expectedUsable int
+	}{
+		{"found empty", nil, true, 1},
+		{"found another incarnation", New("gate-0.1"), true, 1},
+		{"slip: found empty, asked once", nil, false, 2},
+		{"slip: found another incarnation, asked once", New("gate-0.1"), false, 2},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			older, later, born := New("gate-1.1"), New("gate-2.1"), New("gate-0.2")
+			limit := []TeamCount{NewTeamCount(team, 1)}
+			addresses := []string{"0", "1", "2"}
+
+			first := older.BeginRecount(addresses, "1")
+			count(older, "0", nil, first)
+			count(older, "2", later, first)
+			count(older, "2", later, first)
+			second := later.BeginRecount(addresses, "2")
+			count(later, "0", s.before, second)
+
+			count(older, "0", born, first)
+			commit, ok := older.Finish(limit, nil)
+			assert.Assert(t, ok && born.Commit(commit))
+			gift, ok := older.Give(team, 1, born.Incarnation())
+			assert.Assert(t, ok && born.Accept(gift))
+
+			count(later, "1", older, second)
+			assert.DeepEqual(t, later.Missing(), []string{"0", "1"})
+			if s.askAgain {
+				count(later, "0", born, second)
+				count(later, "1", older, second)
+			} else {
+				clear(later.recount.missing)
+			}
+			_, ok = later.Finish(limit, nil)
+			assert.Assert(t, ok)
+			assert.Equal(t, born.Spare(team)+later.Spare(team), s.expectedUsable)
+		})
+	}
+}
+
+// count lets the initiator ask an address where the given ledger answers, nil for none.
+func count(initiator *Ledger, address string, there *Ledger, q Query) {
+	if there == nil {
+		initiator.CountedGone(address)
+		return
+	}
+	if r, _, ok := there.Report(q); ok {
+		initiator.Counted(address, r)
+	}
+}
