Add the service that runs the rights ledger between gates

Cause: each gate held the data centre's whole allotment by itself, so two gates started twice the limit. The service spends and returns for the dispatchers, asks the other gates for spare rights in one round trip, and recounts when a gate is new, gone or its rights may be lost. It begins no epoch while a gate is silent, and gives up one that meets silence, so that trade goes on.

--- /dev/null
+++ b/gate/daemon/limits/service.go
@@ -0,0 +1,171 @@
+package limits
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"mangowing/core/fold"
+	"mangowing/core/proc"
+	"mangowing/core/rights"
+	"mangowing/gate/daemon/peers"
+)
+
+const checkPeriod = 100 * time.Millisecond
+
+// States is where the service reads the folded state.
+type States interface {
+	State() *fold.State
+	Synced() bool
+}
+
+// Peers is what the service needs of the other gates; errors are as those of peers.Network.
+type Peers interface {
+	Call(ctx context.Context, address, method string, params, result any) error
+	Handle(method string, h peers.Handler)
+}
+
+// Orphans is where the service learns what work still runs at the data centre's upstreams under rights of gone gates.
+type Orphans interface {
+	// Orphans counts, per team, the work whose right was spent by none of the counted incarnations; an upstream
+	// that can't be asked is an error.
+	Orphans(ctx context.Context, counted []string) ([]rights.TeamCount, error)
+}
+
+// Deps are the parts that the service works with.
+type Deps struct {
+	Process    *proc.Process      // the process
+	States     States             // the folded state
+	Peers      Peers              // calls between gates
+	Neighbours func() []Neighbour // the declared gates of the data centre, this one included
+	Orphans    Orphans            // the upstreams' reports
+	DataCentre string             // the data centre
+	Settle     time.Duration      // how long after a gate's end the upstreams may not yet report work that it granted
+}
+
+// Service holds this gate's rights; its methods may be called from any goroutine.
+type Service struct {
+	process    *proc.Process
+	states     States
+	peers      Peers
+	neighbours func() []Neighbour
+	orphans    Orphans
+	wake       chan struct{}
+	wanted     chan struct{}
+	mu         sync.Mutex
+	ledger     *rights.Ledger
+	allotments allotments
+	followed   *fold.State
+	planner    *recountPlanner
+	wants      wants
+	unmet      map[string]unmetWant
+	stopping   bool
+}
+
+// New returns the service; it holds no rights before the first recount.
+func New(d Deps) *Service {
+	s := &Service{
+		process:    d.Process,
+		states:     d.States,
+		peers:      d.Peers,
+		neighbours: d.Neighbours,
+		orphans:    d.Orphans,
+		wake:       make(chan struct{}, 1),
+		wanted:     make(chan struct{}, 1),
+		ledger:     rights.New(d.Process.Incarnation()),
+		allotments: allotments{dataCentre: d.DataCentre},
+		planner:    newRecountPlanner(d.Settle, time.Now()),
+		wants:      wants{},
+		unmet:      map[string]unmetWant{},
+	}
+	s.registerHandlers()
+	return s
+}
+
+// TrySpend takes one right of the team for one start, false where this gate has none spare.
+func (s *Service) TrySpend(team string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.stopping && s.ledger.Spend(team)
+}
+
+// Return gives one right back after its work has surely ended.
+func (s *Service) Return(team string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	owed := s.ledger.Spare(team) < 0
+	s.ledger.Return(team)
+	if owed && s.ledger.Spare(team) >= 0 {
+		s.planner.missing = true
+	}
+	s.serveUnmet(team)
+}
+
+// Held returns the team's rights at this gate: those spent, and those spare, negative while a lowered limit's work has to end.
+func (s *Service) Held(team string) (spent, spare int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Spent(team), s.ledger.Spare(team)
+}
+
+// Within tells whether all gates of the data centre together are within the team's allotment of the state at the offset.
+func (s *Service) Within(team string, offset uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Within(team, offset)
+}
+
+// Wake makes the service look at state and membership again.
+func (s *Service) Wake() { signal(s.wake) }
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// Serve recounts and trades until the context ends.
+func (s *Service) Serve(ctx context.Context) error {
+	var trade sync.WaitGroup
+	trade.Go(func() { s.trade(ctx) })
+	defer trade.Wait()
+	tick := s.process.Timers().Every(checkPeriod)
+	defer tick.Close()
+	for {
+		if s.check() {
+			s.recount(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.wake:
+		case <-tick.C():
+		}
+	}
+}
+
+// check follows the state and tells whether this gate should recount now.
+func (s *Service) check() bool {
+	neighbours := s.neighbours()
+	synced := s.states.Synced()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.follow()
+	return s.planner.due(time.Now(), s.facts(neighbours)) && synced && !s.stopping
+}
+
+func (s *Service) facts(neighbours []Neighbour) facts {
+	return facts{neighbours, s.ledger.Roster(), s.ledger.Trading(), s.ledger.Behind()}
+}
+
+// follow hands the ledger the newest state; the caller holds the lock.
+func (s *Service) follow() {
+	state := s.states.State()
+	if s.followed != nil && state.Offset() <= s.followed.Offset() {
+		return
+	}
+	changed := s.allotments.follow(state)
+	s.followed = state
+	s.ledger.Follow(state.Offset(), changed)
+}
