Add the demo of both deployments

`make demo [DEPLOYMENT=hessian]` starts a stand and 8 gates in 3 data centres, applies the declarations, grants keys, and lets all teams send while a VM moves, a gate is killed and replaced, another stops in the planned way, and a key is withdrawn; `stand probe` shows when every gate is ready or refuses the key.

With the mix as committed the demo fails while gates don't serve tickets: every stream with tickets counts as lost.

--- a/Makefile
+++ b/Makefile
@@ -38,5 +38,13 @@
 		go run ./mango reference $$page | diff -u $$file - || { echo "$$file differs: run make generate"; exit 1; }; \
 	done
 
+DEPLOYMENT ?= vlnka
+
+demo: build ## run a stand, 8 gates and load with failures for under a minute (DEPLOYMENT=vlnka or hessian)
+	scripts/demo $(DEPLOYMENT)
+
+bench: build ## measure a gate's throughput and added latency against a direct client of the same upstreams
+	scripts/bench
+
 clean: ## remove build output
 	rm -rf $(BIN)
--- a/stand/load/load_test.go
+++ b/stand/load/load_test.go
@@ -242,23 +242,50 @@
 		text          string
 		expectedError string
 	}{
-		{"good", "[stream a]\nqueue = q\nrate = 2.5\nrepeat = key\nidempotent = yes\ntimeout = 2s\n", ""},
+		{"good", "[stream a]\nqueue = q\nkey-file = key\nrate = 2.5\nrepeat = key\nidempotent = yes\ntimeout = 2s\n", ""},
 		{"no queue", "[stream a]\nrate = 1\n", "expected a queue"},
 		{"unknown key", "[stream a]\nqueue = q\nrat = 1\n", "rat: unknown key"},
 		{"unknown repeat", "[stream a]\nqueue = q\nrepeat = often\n", "expected none, ticket or key"},
 		{"another section", "[load a]\nqueue = q\n", "expected [stream NAME]"},
-		{"no such key file", "[stream a]\nqueue = q\nkey-file = /nowhere\n", "key-file"},
+		{"no such key file", "[stream a]\nqueue = q\nkey-file = nowhere\n", "key-file"},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
-			dir := fs.NewDir(t, "mix", fs.WithFile("mix.ini", s.text))
-			streams, err := ReadMix(dir.Join("mix.ini"))
+			dir := fs.NewDir(t, "mix", fs.WithFile("mix.ini", s.text), fs.WithFile("key", "secret\n"))
+			streams, err := ReadMix(dir.Join("mix.ini"), dir.Path())
 			if s.expectedError != "" {
 				assert.ErrorContains(t, err, s.expectedError)
 				return
 			}
 			assert.NilError(t, err)
-			assert.Equal(t, streams[0], Stream{"a", "q", "", 2.5, 1, 0, 0, 0, repeatKey, true, 2 * time.Second})
+			assert.Equal(t, streams[0], Stream{"a", "q", "key", "secret", 2.5, 1, 0, 0, 0, repeatKey, true, 2 * time.Second})
+		})
+	}
+}
+
+func TestProbe(t *testing.T) {
+	scenarios := []struct {
+		testName      string
+		fault         string
+		probe         Probe
+		expectedError string
+	}{
+		{"ready", "", Probe{Within: 5 * time.Second}, ""},
+		{"not ready", "not ready", Probe{Within: 50 * time.Millisecond}, "not as expected within 50ms"},
+		{"expected code", "says not-run", Probe{Queue: "q", Key: "k", Expect: 201, Within: 5 * time.Second}, ""},
+		{"another code", "says not-run", Probe{Queue: "q", Key: "k", Expect: 104, Within: 50 * time.Millisecond}, "not as expected"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			server := httptest.NewServer(&gate{fault: s.fault, board: &count.Board{}})
+			defer server.Close()
+			s.probe.Gates = []string{server.Listener.Addr().String()}
+			_, err := s.probe.Run(t.Context())
+			if s.expectedError == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assert.ErrorContains(t, err, s.expectedError)
 		})
 	}
 }
--- a/stand/load/mix.go
+++ b/stand/load/mix.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
@@ -24,6 +25,7 @@
 type Stream struct {
 	name        string
 	queue       string
+	keyFile     string
 	key         string
 	rate        float64
 	concurrency int
@@ -35,8 +37,9 @@
 	timeout     time.Duration
 }
 
-// ReadMix returns the streams of an INI file with a section [stream NAME] for each.
-func ReadMix(path string) ([]Stream, error) {
+// ReadMix returns the streams of an INI file with a section [stream NAME] for each; it reads their keys from files in a
+// directory.
+func ReadMix(path, keys string) ([]Stream, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, eris.Wrap(err, "mix")
@@ -47,7 +50,7 @@
 	}
 	var out []Stream
 	for _, o := range objects {
-		s, err := readStream(o)
+		s, err := readStream(o, keys)
 		if err != nil {
 			return nil, eris.Wrapf(err, "%s: [%s %s]", path, o.Kind(), o.Name())
 		}
@@ -56,7 +59,7 @@
 	return out, nil
 }
 
-func readStream(o record.Object) (Stream, error) {
+func readStream(o record.Object, keys string) (Stream, error) {
 	if o.Kind() != "stream" || o.Name() == "" {
 		return Stream{}, eris.New("expected [stream NAME]")
 	}
@@ -67,6 +70,13 @@
 			return Stream{}, eris.Wrap(err, key)
 		}
 	}
+	if s.keyFile != "" {
+		key, err := ReadKey(filepath.Join(keys, s.keyFile))
+		if err != nil {
+			return Stream{}, eris.Wrap(err, "key-file")
+		}
+		s.key = key
+	}
 	if s.queue == "" || s.concurrency < 1 {
 		return Stream{}, eris.New("expected a queue and a concurrency of at least 1")
 	}
@@ -78,7 +88,7 @@
 	case "queue":
 		s.queue = value
 	case "key-file":
-		s.key, err = readKey(value)
+		s.keyFile = value
 	case "rate":
 		s.rate, err = strconv.ParseFloat(value, 64)
 	case "concurrency":
@@ -104,7 +114,8 @@
 	return err
 }
 
-func readKey(path string) (string, error) {
+// ReadKey returns the key in a file, without the line's end.
+func ReadKey(path string) (string, error) {
 	data, err := os.ReadFile(path)
 	return strings.TrimSpace(string(data)), err
 }
--- a/stand/load_command.go
+++ b/stand/load_command.go
@@ -24,6 +24,7 @@
 	gates      []string
 	stand      string
 	mix        string
+	keys       string
 	deployment string
 	duration   time.Duration
 	output     string
@@ -39,7 +40,7 @@
 Exit code 1 if anything of this was found.
 
 The mix is an INI file with a section [stream NAME] for each stream:
-  queue = quotes           key-file = FILE      rate = 50 (a second, 0: as fast as answers come)
+  queue = quotes           key-file = NAME      rate = 50 (a second, 0: as fast as answers come)
   concurrency = 10         run-ms = 40          body-bytes = 100     answer-bytes = 100
   repeat = ticket, key or none                  idempotent = yes or no
   timeout = 10s`,
@@ -54,6 +55,7 @@
 	cmd.Flags().StringSliceVar(&flags.gates, "gates", nil, "the gates' addresses for callers")
 	cmd.Flags().StringVar(&flags.stand, "stand", "127.0.0.1:7000", "the stand's platform address")
 	cmd.Flags().StringVar(&flags.mix, "mix", "mix.ini", "the file with the streams")
+	cmd.Flags().StringVar(&flags.keys, "keys", ".", "the directory of the key files")
 	cmd.Flags().StringVar(&flags.deployment, "deployment", "", "a directory of declarations whose teams' limits are checked")
 	cmd.Flags().DurationVar(&flags.duration, "duration", 10*time.Second, "how long requests are sent")
 	cmd.Flags().StringVar(&flags.output, "output", outputTable, "table or json")
@@ -61,7 +63,7 @@
 }
 
 func runLoad(ctx context.Context, flags loadFlags) error {
-	streams, err := load.ReadMix(flags.mix)
+	streams, err := load.ReadMix(flags.mix, flags.keys)
 	if err != nil {
 		return &settingError{err}
 	}
