Tell a call that a gate lacks from a lost answer, and name each gate once

HTTP 404 and 405 without a code come from the router, before any handler ran. Ruled out: treating every answer without a code so; a proxy's 502 tells nothing. The new case of TestDo was red before. Not measured.

--- a/mango/gates/client.go
+++ b/mango/gates/client.go
@@ -125,7 +125,13 @@
 	}
 }
 
+// errNoSuchCall is a gate's answer to a path that it does not serve; nothing can have run.
+var errNoSuchCall = errors.New("the gate does not know this call; is it of an older version?")
+
 func surelyUnsent(err error) bool {
+	if errors.Is(err, errNoSuchCall) {
+		return true
+	}
 	var refused *Refused
 	if errors.As(err, &refused) {
 		return refused.result.Outcome() == codes.NotRun
@@ -157,6 +163,9 @@
 	if status >= http.StatusBadRequest {
 		var r Result
 		if err := json.Unmarshal(data, &r); err != nil || r.Code() == codes.OK {
+			if status == http.StatusNotFound || status == http.StatusMethodNotAllowed {
+				return errNoSuchCall
+			}
 			return fmt.Errorf("HTTP status %d without a result code", status)
 		}
 		return &Refused{r}
--- a/mango/gates/client_test.go
+++ b/mango/gates/client_test.go
@@ -37,6 +37,7 @@
 		{"a call that must go once stops at a lost answer", true, []http.HandlerFunc{lose, answer(200, fine)}, 1, "outcome unknown", true},
 		{"a call that must go once passes on what was not run", true, []http.HandlerFunc{answer(503, notReady), answer(200, fine)}, 2, "", false},
 		{"a log that did not answer is asked through another gate", false, []http.HandlerFunc{answer(202, slow), answer(200, fine)}, 2, "", false},
+		{"a gate that lacks the call has run nothing", true, []http.HandlerFunc{answer(404, "404 page not found"), answer(200, fine)}, 2, "", false},
 		{"a refusal ends the call", false, []http.HandlerFunc{answer(409, `{"code":401,"outcome":"not-run","detail":"x"}`), answer(200, fine)}, 1, "401 revision-conflict: x", false},
 		{"an answer without a code is no refusal", true, []http.HandlerFunc{answer(502, "<html>"), answer(200, fine)}, 1, "HTTP status 502 without a result code", true},
 		{"a broken answer is unknown", true, []http.HandlerFunc{answer(200, `{"co`), answer(200, fine)}, 1, "malformed answer", true},
--- a/mango/gates/errors.go
+++ b/mango/gates/errors.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"net/url"
+	"slices"
 	"strings"
 
 	"mangowing/core/codes"
@@ -28,9 +30,14 @@
 	return strings.Join(lines, "\n")
 }
 
+type attempt struct {
+	gate    string
+	problem string
+}
+
 // Unreachable says that no gate answered; a write's outcome is unknown if one of them may have received it.
 type Unreachable struct {
-	tried    []string
+	tried    []attempt
 	received bool
 	last     *Refused
 }
@@ -38,20 +45,25 @@
 // MayHaveTakenEffect tells whether a gate may have received the call.
 func (u *Unreachable) MayHaveTakenEffect() bool { return u.received }
 
-// Error returns each gate tried and why it gave no answer.
+// Error returns each gate tried and why it gave no answer the last time.
 func (u *Unreachable) Error() string {
-	what := "no gate answered; nothing was changed"
+	lines := []string{"no gate answered; nothing was changed"}
 	if u.received {
-		what = "outcome unknown: a gate may have received the call but no answer came"
+		lines[0] = "outcome unknown: a gate may have received the call but no answer came"
 	}
-	return what + "\n  " + strings.Join(u.tried, "\n  ")
+	for _, a := range u.tried {
+		lines = append(lines, fmt.Sprintf("  %s: %s", a.gate, a.problem))
+	}
+	return strings.Join(lines, "\n")
 }
 
 func (u *Unreachable) note(gate string, err error, received bool) {
-	line := fmt.Sprintf("%s: %s", gate, err)
-	if len(u.tried) == 0 || u.tried[len(u.tried)-1] != line {
-		u.tried = append(u.tried, line)
+	i := slices.IndexFunc(u.tried, func(a attempt) bool { return a.gate == gate })
+	if i < 0 {
+		i = len(u.tried)
+		u.tried = append(u.tried, attempt{gate: gate})
 	}
+	u.tried[i].problem = problem(err)
 	u.received = u.received || received
 	var refused *Refused
 	if errors.As(err, &refused) {
@@ -59,6 +71,15 @@
 	}
 }
 
+// problem returns the error's text on one line, without the address that net/http repeats.
+func problem(err error) string {
+	var call *url.Error
+	if errors.As(err, &call) {
+		err = call.Err
+	}
+	return strings.ReplaceAll(err.Error(), "\n", "; ")
+}
+
 // verdict returns the last refusal if no gate can have acted, else the whole account.
 func (u *Unreachable) verdict() error {
 	if u.last != nil && !u.received {
--- a/mango/show/events.go
+++ b/mango/show/events.go
@@ -47,7 +47,7 @@
 	if about.Detail != "" {
 		parts = append(parts, about.Detail)
 	}
-	return strings.Join(parts, " ")
+	return strings.TrimSpace(strings.Join(parts, " "))
 }
 
 // Job is the state of one job.
