--- a/gate/daemon/limits/recount_planner.go
+++ b/gate/daemon/limits/recount_planner.go
@@ -6,9 +6,11 @@
 )
 
 const (
-	rankPause    = 300 * time.Millisecond
-	failurePause = 300 * time.Millisecond
-	orphanPause  = 500 * time.Millisecond
+	rankPause        = 300 * time.Millisecond
+	failurePause     = 300 * time.Millisecond
+	mostFailurePause = 1200 * time.Millisecond
+	mostDoublings    = 2
+	orphanPause      = 500 * time.Millisecond
 )
 
 // facts is what the planner decides on.
@@ -26,9 +28,10 @@
 	seen       map[string]time.Time // incarnations heard of; the time since when each is gone, zero while it is not
 	lastGone   time.Time
 	counted    time.Time // when this gate reported to a recount that has not been committed, else zero
-	missing    bool // rights may be missing though all gates are counted
+	missing    bool      // rights may be missing though all gates are counted
 	orphansAt  time.Time
 	notBefore  time.Time
+	failures   int
 	readySince time.Time
 }
 
@@ -127,13 +130,15 @@
 
 // failed postpones the next attempt.
 func (p *recountPlanner) failed(now time.Time) {
-	p.notBefore = now.Add(failurePause)
+	p.notBefore = now.Add(min(failurePause<<p.failures, mostFailurePause))
+	p.failures = min(p.failures+1, mostDoublings)
 	p.readySince = time.Time{}
 }
 
 // committed forgets the reasons that the recount has dealt with.
 func (p *recountPlanner) committed(now time.Time, orphans bool) {
 	p.missing = false
+	p.failures = 0
 	p.counted = time.Time{}
 	p.readySince = time.Time{}
 	p.notBefore = now.Add(failurePause)
