Hold upper limits by rights that gates trade and recount

Cause: each gate spent its data centre's whole allotment on its own, so three gates together could run three times the limit. The dispatchers now spend rights of the ledger; a recount asks the upstreams for work of gates that are gone, and takes a silent VM's slots as such work. Ruled out: failing the recount at a silent VM, which left replaced gates without rights until the VM list dropped it.

--- a/gate/daemon/assemble.go
+++ b/gate/daemon/assemble.go
@@ -15,6 +15,7 @@
 	"mangowing/core/proc"
 	"mangowing/gate/daemon/admin"
 	"mangowing/gate/daemon/caller"
+	"mangowing/gate/daemon/limits"
 	"mangowing/gate/daemon/peers"
 	"mangowing/gate/daemon/planner"
 	"mangowing/gate/daemon/queue"
@@ -37,6 +38,7 @@
 	admin    *admin.Server
 	fleet    *fleetView
 	planner  *planner.Service
+	limits   *limits.Service
 	stopping atomic.Bool
 }
 
@@ -55,12 +57,18 @@
 	g.members = peers.NewMembership(g.process, g.network, members, settings.heartbeat, g.facts)
 	g.control.SetView(g.members.View)
 	g.vms = vmlist.New(g.process, platform, g.network, g.members.View, settings.vmPoll)
-	rights := &localRights{control: g.control, dataCentre: settings.dataCentre}
+	workers := plat.NewWorkers()
+	g.limits = limits.New(limits.Deps{
+		Process: g.process, States: g.control, Peers: g.network, DataCentre: settings.dataCentre,
+		Neighbours: func() []limits.Neighbour { return limits.NeighboursOf(g.members.View(), settings.dataCentre) },
+		Orphans:    &orphanCounter{g.control, g.vms, workers, settings.dataCentre},
+		Settle:     queue.StartWindow + settings.reportLag,
+	})
 	g.queues = queue.New(queue.Deps{
 		Process: g.process, States: g.control, Lists: g.vms, Members: g.members, Peers: g.network,
-		Workers: plat.NewWorkers(), Rights: rights, ReportLag: settings.reportLag,
+		Workers: workers, Rights: g.limits, ReportLag: settings.reportLag,
 	})
-	g.fleet = &fleetView{process: g.process, control: g.control, vms: g.vms, queues: g.queues, workers: plat.NewWorkers()}
+	g.fleet = &fleetView{process: g.process, control: g.control, vms: g.vms, queues: g.queues, workers: workers}
 	g.planner = planner.New(planner.Deps{
 		Process: g.process, State: g.control, Recorder: g.control, Platform: platform, Fleet: g.fleet,
 	})
@@ -69,7 +77,7 @@
 		Address: settings.callerAddress, MaxBodyBytes: settings.maxBodyBytes,
 	})
 	g.admin = admin.New(admin.Deps{
-		Process: g.process, Control: g.control, Members: g.members, Peers: g.network, Loads: g.queues, Rights: rights,
+		Process: g.process, Control: g.control, Members: g.members, Peers: g.network, Loads: g.queues, Rights: g.limits,
 		Platform: platform, Lists: g.vms, Address: settings.operatorAddress, KeyHashes: settings.operatorHashes, TLS: tlsConfig,
 	})
 	g.connect()
@@ -78,9 +86,15 @@
 
 // connect lets the parts notice each other's changes.
 func (g *gate) connect() {
-	g.control.OnChange(func(*fold.State) { g.queues.Wake() })
+	g.control.OnChange(func(*fold.State) {
+		g.queues.Wake()
+		g.limits.Wake()
+	})
 	g.vms.OnChange(func(*vmlist.List) { g.queues.Wake() })
-	g.members.OnChange(func(*peers.View) { g.queues.Wake() })
+	g.members.OnChange(func(*peers.View) {
+		g.queues.Wake()
+		g.limits.Wake()
+	})
 	g.control.OnSync(g.members.Announce)
 	g.members.OnBeat(g.control.HearBeat)
 }
@@ -127,6 +141,7 @@
 
 func (g *gate) trafficTree() *suture.Supervisor {
 	tree := supervisor("traffic")
+	tree.Add(named("limits", g.limits.Serve))
 	tree.Add(named("queues", g.queues.Serve))
 	tree.Add(named("callers", g.callers.Serve))
 	return tree
--- a/gate/daemon/limits/recount_handler.go
+++ b/gate/daemon/limits/recount_handler.go
@@ -55,11 +55,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.follow()
+	before := s.ledger.Epoch()
 	report, epoch, ok := s.ledger.Report(w.Query)
 	if !ok {
 		return reportAnswerWire{Epoch: epoch}, nil
 	}
-	s.planner.counted = time.Now()
+	if epoch != before {
+		s.planner.counted = time.Now()
+		s.planner.count()
+	}
 	return reportAnswerWire{Report: &report, Epoch: epoch}, nil
 }
 
--- a/gate/daemon/limits/recount_initiator.go
+++ b/gate/daemon/limits/recount_initiator.go
@@ -107,6 +107,7 @@
 	before := s.ledger.Roster()
 	addresses, own := addressesOf(neighbours)
 	query := s.ledger.BeginRecount(addresses, own)
+	s.planner.count()
 	missing := s.ledger.Missing()
 	s.mu.Unlock()
 	for len(missing) > 0 {
--- a/gate/daemon/limits/recount_planner.go
+++ b/gate/daemon/limits/recount_planner.go
@@ -28,7 +28,9 @@
 	seen       map[string]time.Time // incarnations heard of; the time since when each is gone, zero while it is not
 	lastGone   time.Time
 	counted    time.Time // when this gate reported to a recount that has not been committed, else zero
-	missing    bool      // rights may be missing though all gates are counted
+	missed     uint64    // how often rights may have gone missing
+	reported   uint64    // that number when this gate was last counted
+	covered    uint64    // that number when this gate was counted in the last committed recount
 	orphansAt  time.Time
 	notBefore  time.Time
 	failures   int
@@ -85,7 +87,7 @@
 
 // wanted tells whether a recount could make more rights usable or admit a gate.
 func (p *recountPlanner) wanted(now time.Time, f facts) bool {
-	if !f.trading || f.behind || p.missing {
+	if !f.trading || f.behind || p.missed > p.covered {
 		return true
 	}
 	if !p.orphansAt.IsZero() && !now.Before(p.orphansAt) {
@@ -128,6 +130,12 @@
 	return !now.Before(p.settledAt())
 }
 
+// miss notes that rights may have gone missing though all gates are counted.
+func (p *recountPlanner) miss() { p.missed++ }
+
+// count notes that this gate is counted now; what goes missing later needs another recount.
+func (p *recountPlanner) count() { p.reported = p.missed }
+
 // failed postpones the next attempt.
 func (p *recountPlanner) failed(now time.Time) {
 	p.notBefore = now.Add(min(failurePause<<p.failures, mostFailurePause))
@@ -137,7 +145,7 @@
 
 // committed forgets the reasons that the recount has dealt with.
 func (p *recountPlanner) committed(now time.Time, orphans bool) {
-	p.missing = false
+	p.covered = p.reported
 	p.failures = 0
 	p.counted = time.Time{}
 	p.readySince = time.Time{}
--- a/gate/daemon/limits/service.go
+++ b/gate/daemon/limits/service.go
@@ -96,7 +96,7 @@
 	owed := s.ledger.Spare(team) < 0
 	s.ledger.Return(team)
 	if owed && s.ledger.Spare(team) >= 0 {
-		s.planner.missing = true
+		s.planner.miss()
 	}
 	s.serveUnmet(team)
 }
--- a/gate/daemon/limits/trade_handler.go
+++ b/gate/daemon/limits/trade_handler.go
@@ -112,5 +112,5 @@
 func (s *Service) miss() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.planner.missing = true
+	s.planner.miss()
 }
--- a/gate/daemon/limits/want_helper.go
+++ b/gate/daemon/limits/want_helper.go
@@ -157,7 +157,7 @@
 	defer s.mu.Unlock()
 	for _, t := range transfers {
 		if !s.ledger.Accept(t) {
-			s.planner.missing = true
+			s.planner.miss()
 			continue
 		}
 		for _, c := range t.Rights() {
--- /dev/null
+++ b/gate/daemon/orphans_helper.go
@@ -0,0 +1,99 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"mangowing/core/rights"
+	"mangowing/gate/daemon/state"
+	"mangowing/gate/daemon/vmlist"
+	"mangowing/gate/plat"
+)
+
+const (
+	orphanCallers = 16
+	orphanTimeout = time.Second
+)
+
+// orphanCounter asks the data centre's upstreams what runs there under the rights of gates that are gone.
+type orphanCounter struct {
+	control    *state.Service
+	vms        *vmlist.Service
+	workers    *plat.Workers
+	dataCentre string
+}
+
+// Orphans counts, per team, the work whose right was spent by none of the counted incarnations. For a VM that does not
+// answer it assumes the worst, that all its slots run such work of every team, so that the VM blocks no recount.
+func (o *orphanCounter) Orphans(ctx context.Context, counted []string) ([]rights.TeamCount, error) {
+	found := &orphanSum{counts: map[string]int{}}
+	var wg sync.WaitGroup
+	room := make(chan struct{}, orphanCallers)
+	for _, vm := range o.running() {
+		room <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-room }()
+			o.countAt(ctx, vm, counted, found)
+		})
+	}
+	wg.Wait()
+	return found.list(), ctx.Err()
+}
+
+func (o *orphanCounter) running() []plat.VM {
+	var out []plat.VM
+	list := o.vms.List()
+	for _, name := range list.Names() {
+		vm, _ := list.VM(name)
+		if vm.DataCentre() == o.dataCentre && vm.State() != plat.VMGone {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+func (o *orphanCounter) countAt(ctx context.Context, vm plat.VM, counted []string, found *orphanSum) {
+	ctx, cancel := context.WithTimeout(ctx, orphanTimeout)
+	defer cancel()
+	report, err := o.workers.Running(ctx, vm.Address())
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return
+	case err != nil:
+		klog.InfoS("worker-silent-in-recount", "vm", vm.Name())
+		for _, team := range o.control.State().Config().Teams() {
+			found.add(team, vm.Slots())
+		}
+		return
+	}
+	for _, r := range report.Requests() {
+		if !slices.Contains(counted, r.Gate()) {
+			found.add(r.Team(), 1)
+		}
+	}
+}
+
+type orphanSum struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func (s *orphanSum) add(team string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts[team] += n
+}
+
+func (s *orphanSum) list() []rights.TeamCount {
+	out := make([]rights.TeamCount, 0, len(s.counts))
+	for team, n := range s.counts {
+		out = append(out, rights.NewTeamCount(team, n))
+	}
+	return out
+}
--- a/gate/daemon/queue/client.go
+++ b/gate/daemon/queue/client.go
@@ -141,7 +141,7 @@
 	granted := started.Add(time.Duration(answer.WaitedMs) * time.Millisecond)
 	return Grant{
 		request: ask.Request, vm: answer.VM, address: answer.Address, holder: ask.Holder,
-		dispatcher: answer.Dispatcher, peer: site.Address(), pool: ask.Pool, startBy: granted.Add(startWindow),
+		dispatcher: answer.Dispatcher, peer: site.Address(), pool: ask.Pool, startBy: granted.Add(StartWindow),
 	}, answer
 }
 
--- a/gate/daemon/queue/grant.go
+++ b/gate/daemon/queue/grant.go
@@ -7,9 +7,9 @@
 	"mangowing/core/decl"
 )
 
-// startWindow is how long after its grant a request may be started, counted by the gate that holds the grant from
+// StartWindow is how long after its grant a request may be started, counted by the gate that holds the grant from
 // before it asked. A dispatcher that has lost sight of the holder waits this long before it believes a worker's report.
-const startWindow = 2 * time.Second
+const StartWindow = 2 * time.Second
 
 // Ask is what a gate tells a dispatcher about a request that it wants to start.
 type Ask struct {
--- a/gate/daemon/queue/reclaim_helper.go
+++ b/gate/daemon/queue/reclaim_helper.go
@@ -28,7 +28,7 @@
 
 // mayHaveEnded keeps the reports out that could have been made before the holder's last moment to start.
 func (s *Service) mayHaveEnded(g outstanding) bool {
-	return time.Since(g.granted) > startWindow+s.reportLag
+	return time.Since(g.granted) > StartWindow+s.reportLag
 }
 
 func (s *Service) reclaimOn(ctx context.Context, d *dispatcher, vm string, grants []outstanding) {
--- a/gate/daemon/stop_helper.go
+++ b/gate/daemon/stop_helper.go
@@ -9,7 +9,10 @@
 	"mangowing/core/event"
 )
 
-const stopCheck = 50 * time.Millisecond
+const (
+	stopCheck    = 50 * time.Millisecond
+	handOverWait = time.Second
+)
 
 // stop carries out a planned stop: tell the balancer and the peers, still take what arrives for a while, wait until
 // all answers are out and all grants are released, then close.
@@ -23,14 +26,32 @@
 	ctx, cancel := context.WithTimeout(ctx, g.settings.stopLimit)
 	defer cancel()
 	g.callers.EndKeepAlive()
+	handOverCtx, endHandOver := context.WithCancel(ctx)
+	handedOver := make(chan error, 1)
+	go func() { handedOver <- g.limits.HandOver(handOverCtx) }()
 	await(ctx, func() bool { return time.Since(begun) >= g.settings.lameDuck && g.callers.Active() == 0 })
 	if err := g.callers.Shutdown(ctx); err != nil {
 		klog.ErrorS(err, "stop-cut-requests", "active", g.callers.Active())
 	}
 	await(ctx, func() bool { return g.queues.Outstanding() == 0 })
+	g.awaitHandOver(handedOver, endHandOver)
 	klog.InfoS("planned-stop-done", "ms", time.Since(begun).Milliseconds())
 }
 
+// awaitHandOver gives the last rights, spare now that all work has ended, a moment to reach a peer. Without a peer the
+// recount after this gate's end mints them anew.
+func (g *gate) awaitHandOver(handedOver chan error, end context.CancelFunc) {
+	defer end()
+	select {
+	case err := <-handedOver:
+		if err != nil {
+			klog.InfoS("rights-left", "error", err.Error())
+		}
+	case <-time.After(handOverWait):
+		klog.InfoS("rights-left", "error", "no peer took them in time")
+	}
+}
+
 func await(ctx context.Context, done func() bool) {
 	tick := time.NewTicker(stopCheck)
 	defer tick.Stop()
--- a/stand/prove/driver_test.go
+++ b/stand/prove/driver_test.go
@@ -88,9 +88,11 @@
 	for _, g := range f.gates {
 		g.start()
 	}
+	begun := time.Now()
 	for _, g := range f.gates {
 		g.awaitReady()
 	}
+	t.Logf("%d gates ready after %d ms", len(f.gates), time.Since(begun).Milliseconds())
 	return f
 }
 
