Add the benchmark of gates against a direct client

`make bench` compares in turns, in one run: throughput with 48 callers, then latency at half of the direct throughput, for one gate and for three of one data centre, with requests that run 10 ms and 0 ms.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,11 +1,12 @@
-# Functions that start and end a stand and 8 gates in 3 data centres; to be sourced. Needs ROOT, RUN, PORT and a plan.
+# Functions that start and end a stand and gates; to be sourced. Needs RUN, PORT,
+# BIN, DECLARATIONS (a directory) and a plan.
 GATES=8
 declare -A PIDS=()
 
 caller_address() { echo "127.0.0.1:$((PORT + 100 + $1))"; }
 operator_address() { echo "127.0.0.1:$((PORT + 120 + $1))"; }
 peer_address() { echo "127.0.0.1:$((PORT + 140 + $1))"; }
-data_centre() { echo "${DATA_CENTRES[$((($1 - 1) % 3))]}"; }
+data_centre() { echo "${DATA_CENTRES[$((($1 - 1) % ${#DATA_CENTRES[@]}))]}"; }
 
 # all_gates FUNCTION: the addresses that the function gives for each gate, with commas.
 all_gates() {
@@ -19,7 +20,7 @@
 		[platform]
 		address = 127.0.0.1:$PORT
 		[deployment]
-		directory = $ROOT/deploy/$DEPLOYMENT
+		directory = $DECLARATIONS
 		[workers]
 		first-port = $((PORT + 200))
 		cores = $CORES
@@ -67,10 +68,12 @@
 	local name
 	for name in "${!PIDS[@]}"; do kill -KILL "${PIDS[$name]}" 2>/dev/null || true; done
 	wait 2>/dev/null || true
+	PIDS=()
 }
 
-# prepare: an empty run directory with settings and an operator's key.
+# prepare [GATES]: an empty run directory with settings and an operator's key.
 prepare() {
+	GATES=${1:-8}
 	rm -rf "$RUN"
 	mkdir -p "$RUN/keys"
 	head -c 32 /dev/urandom | od -An -v -tx1 | tr -d ' \n' >"$RUN/operator-key"
--- /dev/null
+++ b/stand/bench/compare_test.go
@@ -0,0 +1,75 @@
+package bench
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+func TestCompareCountsOnlyGoodAnswers(t *testing.T) {
+	scenarios := []struct {
+		testName      string
+		code          string
+		expectedSound bool
+	}{
+		{"good answers", "0", true},
+		{"refusals", "201", false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/v1/queues/q/requests" {
+					w.Header().Set("Mango-Code", s.code)
+				}
+				time.Sleep(2 * time.Millisecond)
+			}))
+			defer server.Close()
+			address := []string{server.Listener.Addr().String()}
+			c, err := Compare(t.Context(), Spec{
+				Workers: address, Gates: address, Queue: "q", Callers: 4, Duration: 100 * time.Millisecond,
+			})
+			assert.NilError(t, err)
+			assert.Assert(t, c.w.Direct.P50Ms >= 2)
+			if !s.expectedSound {
+				assert.Equal(t, c.Sound(), false)
+				assert.Equal(t, c.w.Gate.Throughput, 0.0)
+				return
+			}
+			assert.Equal(t, c.w.Gate.Errors, 0)
+			assert.Assert(t, c.w.Gate.Throughput > 0)
+		})
+	}
+	_, err := Compare(t.Context(), Spec{})
+	assert.ErrorContains(t, err, "expected workers")
+}
+
+func TestLatencyCountsFromWhenARequestWasDue(t *testing.T) {
+	p := &phase{rate: 10, duration: time.Hour, began: time.Now().Add(-time.Second)}
+	start, ok := p.await(5)
+	assert.Assert(t, ok)
+	assert.Equal(t, start.Sub(p.began), 500*time.Millisecond)
+	p.duration = time.Second
+	_, ok = p.await(5)
+	assert.Assert(t, !ok)
+}
+
+func TestTable(t *testing.T) {
+	direct, gate := newSample(), newSample()
+	for i := range 100 {
+		assert.NilError(t, direct.took.RecordValue(int64(1000+i)))
+		assert.NilError(t, gate.took.RecordValue(int64(1500+10*i)))
+	}
+	direct.count, direct.spent = 100, time.Second
+	gate.count, gate.spent, gate.errors = 80, time.Second, 3
+	c := &Comparison{comparisonWire{Rate: 100, Direct: side(direct, direct), Gate: side(gate, gate)}}
+	c.compare(gate)
+	var b strings.Builder
+	assert.NilError(t, c.WriteTable(&b))
+	assert.NilError(t, c.WriteJSON(&b))
+	golden.Assert(t, b.String(), "table.golden")
+}
--- a/stand/main.go
+++ b/stand/main.go
@@ -24,7 +24,7 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	root.AddCommand(serveCommand(), faultCommand(), loadCommand(), probeCommand())
+	root.AddCommand(serveCommand(), faultCommand(), loadCommand(), probeCommand(), benchCommand())
 	err := root.Execute()
 	if err == nil {
 		return
