--- a/core/rights/ledger_test.go
+++ b/core/rights/ledger_test.go
@@ -151,3 +151,17 @@
 		})
 	}
 }
+
+func TestRecountForgivesTheInitiatorsDebt(t *testing.T) {
+	a, b := pair(t)
+	assert.Assert(t, a.Spend(team))
+	for _, l := range []*Ledger{a, b} {
+		l.Follow(1, nil)
+		l.Follow(2, []TeamCount{NewTeamCount(team, 10)})
+		l.Follow(3, []TeamCount{NewTeamCount(team, 0)})
+	}
+	assert.Equal(t, a.Spare(team), -1)
+	recountAll(t, a, 3, b)
+	assert.Equal(t, a.Spare(team), 2)
+	assert.Equal(t, a.Spent(team), 1)
+}
--- a/core/rights/recount.go
+++ b/core/rights/recount.go
@@ -114,6 +114,7 @@
 }
 
 // Finish adds to this gate's spare rights what of each allotment nobody reported and no orphan occupies.
+// A debt of this gate is forgiven with that: the work that had to end for it is counted as running.
 // The allotments are those of the state last followed; the orphans were asked for after the last report came in.
 // It returns false where an address is missing, a later epoch was taken, or a member's view of the limits differs.
 func (l *Ledger) Finish(allotments, orphans []TeamCount) (Commit, bool) {
@@ -124,7 +125,8 @@
 	occupied := l.occupied(orphans)
 	for _, c := range allotments {
 		if free := c.Count() - occupied[c.Team()]; free > 0 {
-			l.open(c.Team()).spare += free
+			a := l.open(c.Team())
+			a.spare = max(a.spare, 0) + free
 		}
 		occupied[c.Team()] -= c.Count()
 	}
