--- a/stand/prove/limits_test.go
+++ b/stand/prove/limits_test.go
@@ -80,3 +80,31 @@
 	}
 	return 0
 }
+
+// Promise 4: the work of killed gates still counts when every gate is replaced at once.
+func TestLimitCountsWorkOfKilledGates(t *testing.T) {
+	f := startFleet(t, "cz-a", "cz-a", "cz-b", "cz-c")
+	f.apply()
+	key := f.grant("parish-shops")
+	first := f.startLoad(4, "first", task{queue: "quotes", key: key, runMs: 7000})
+	f.await(usableLimit, "two run", func() bool { return f.counts().mostRunning("parish-shops") == 2 })
+	first.stop.Store(true)
+	for _, g := range f.gates {
+		g.kill()
+	}
+	for _, g := range f.gates {
+		g.start()
+	}
+	for _, g := range f.gates {
+		g.awaitReady()
+	}
+	second := f.startLoad(4, "second", task{queue: "quotes", key: key, runMs: 100})
+	f.await(readyTimeout, "work runs again", func() bool {
+		second.mu.Lock()
+		defer second.mu.Unlock()
+		return countOutcome(second.replies, "ran") > 0
+	})
+	first.end()
+	second.end()
+	assert.Equal(t, f.counts().mostRunning("parish-shops"), 2)
+}
