Serve gates that wait for a right in their order

Cause: the holder of a team's rights remembered only the last gate that asked in vain, so with a limit of 2 and three busy gates one got 17 starts of 975 (1 run of about 10 failed TestBusyGatesShareSmallLimits). Now they wait in order.

--- a/gate/daemon/limits/service.go
+++ b/gate/daemon/limits/service.go
@@ -58,7 +58,7 @@
 	followed   *fold.State
 	planner    *recountPlanner
 	wants      wants
-	unmet      map[string]unmetWant
+	unmet      map[string][]unmetWant
 	stopping   bool
 }
 
@@ -76,7 +76,7 @@
 		allotments: allotments{dataCentre: d.DataCentre},
 		planner:    newRecountPlanner(d.Settle, time.Now()),
 		wants:      wants{},
-		unmet:      map[string]unmetWant{},
+		unmet:      map[string][]unmetWant{},
 	}
 	s.registerHandlers()
 	return s
--- a/gate/daemon/limits/service_test.go
+++ b/gate/daemon/limits/service_test.go
@@ -200,7 +200,7 @@
 			c.load(60*time.Second, 0, 1, 2)
 			t.Logf("limit %d: starts %v", limit, c.started)
 			for slot := range 3 {
-				assert.Assert(t, c.started[slot] > 20, "gate %d starved: %v", slot, c.started)
+				assert.Assert(t, c.started[slot] > 100, "gate %d starved: %v", slot, c.started)
 			}
 		})
 	}
--- a/gate/daemon/limits/trade_handler.go
+++ b/gate/daemon/limits/trade_handler.go
@@ -56,7 +56,7 @@
 			continue
 		}
 		if s.ledger.Spent(team) > 0 {
-			s.unmet[team] = unmetWant{w.Asker, time.Now().Add(unmetFor)}
+			s.noteUnmet(team, w.Asker)
 		}
 	}
 	return answer, nil
@@ -72,23 +72,37 @@
 	return takeAnswerWire{s.ledger.Accept(w.Transfer)}, nil
 }
 
-// serveUnmet sends a right that came back to the gate that wanted one, so that none of two busy gates starves; the
+// noteUnmet puts the asker at the end of those that wait for a right of the team; one that waits keeps its place.
+func (s *Service) noteUnmet(team, asker string) {
+	until := time.Now().Add(unmetFor)
+	for i, waiting := range s.unmet[team] {
+		if waiting.asker == asker {
+			s.unmet[team][i].until = until
+			return
+		}
+	}
+	s.unmet[team] = append(s.unmet[team], unmetWant{asker, until})
+}
+
+// serveUnmet sends a right that came back to the gate that has waited longest, so that no busy gate starves; the
 // caller holds the lock.
 func (s *Service) serveUnmet(team string) {
-	want, ok := s.unmet[team]
-	if !ok {
-		return
+	now := time.Now()
+	waiting := s.unmet[team]
+	for len(waiting) > 0 && now.After(waiting[0].until) {
+		waiting = waiting[1:]
 	}
-	if time.Now().After(want.until) {
-		delete(s.unmet, team)
-		return
+	if len(waiting) > 0 {
+		if transfer, ok := s.ledger.Give(team, 1, waiting[0].asker); ok {
+			waiting = waiting[1:]
+			go s.send(transfer)
+		}
 	}
-	transfer, ok := s.ledger.Give(team, 1, want.asker)
-	if !ok {
+	if len(waiting) == 0 {
+		delete(s.unmet, team)
 		return
 	}
-	delete(s.unmet, team)
-	go s.send(transfer)
+	s.unmet[team] = waiting
 }
 
 // send hands a transfer over; one that was not surely taken is missed by the next recount only.
