--- a/gate/daemon/queue/client.go
+++ b/gate/daemon/queue/client.go
@@ -139,10 +139,10 @@
 	}
 	// The dispatcher granted at the earliest its own waiting time after the ask was sent.
 	granted := started.Add(time.Duration(answer.WaitedMs) * time.Millisecond)
-	return Grant{
-		request: ask.Request, vm: answer.VM, address: answer.Address, holder: ask.Holder,
-		dispatcher: answer.Dispatcher, peer: site.Address(), pool: ask.Pool, startBy: granted.Add(StartWindow),
-	}, answer
+	grant := NewGrant(Ask{ask}, answer.VM, answer.Address, granted.Add(StartWindow))
+	grant.dispatcher = answer.Dispatcher
+	grant.peer = site.Address()
+	return grant, answer
 }
 
 func (s *Service) callAsk(ctx context.Context, site peers.Member, ask askWire) (answerWire, error) {
--- a/gate/daemon/queue/grant.go
+++ b/gate/daemon/queue/grant.go
@@ -69,6 +69,11 @@
 	startBy    time.Time
 }
 
+// NewGrant returns a grant of the asked request on a VM, valid until the moment.
+func NewGrant(a Ask, vm, address string, startBy time.Time) Grant {
+	return Grant{request: a.w.Request, pool: a.w.Pool, holder: a.w.Holder, vm: vm, address: address, startBy: startBy}
+}
+
 // Request returns the id of the attempt, by which dispatcher and upstream know it.
 func (g Grant) Request() string { return g.request }
 
--- a/gate/daemon/relay/runner.go
+++ b/gate/daemon/relay/runner.go
@@ -32,6 +32,11 @@
 	begun  bool
 }
 
+// NewResult returns what became of a request; begun tells whether the sink got the beginning of an answer.
+func NewResult(code codes.Code, detail string, begun bool) Result {
+	return Result{code: code, detail: detail, begun: begun}
+}
+
 // Code returns the numbered result code; OK means that the upstream's whole answer reached the sink.
 func (r Result) Code() codes.Code { return r.code }
 
