Settle charges before they are forgiven, and hold long runs to their share

A charge that the four-second memory forgave was refunded in full when the item ended early, so a short-running team drifted below its service; charges are now bounded only when settled. A team whose items run half a minute started several at once to catch up, and nobody could end them: while others wait it now starts long work only up to its share, which is taken from how fast virtual time passes.

--- a/core/share/account_helper.go
+++ b/core/share/account_helper.go
@@ -51,6 +51,9 @@
 		s.paid.fix(n)
 		s.charge(n.team, n.item.Class(), span.Seconds())
 		s.noticeLong(n)
+		if n.long {
+			s.forgive(n.team)
+		}
 	}
 }
 
@@ -67,20 +70,20 @@
 	if !ok || n.waiting() {
 		return false
 	}
-	s.advance(now)
 	t := n.team
 	delete(s.nodes, id)
 	s.paid.remove(n)
+	s.advance(now)
 	t.running--
 	s.running--
 	if n.long {
 		s.runningLong--
-		s.releaseShort()
 	}
 	if ran > 0 {
 		t.queue(n.item.Class()).observe(ran.Seconds())
 	}
 	s.charge(t, n.item.Class(), ran.Seconds()-n.paid)
+	s.forgive(t)
 	s.updateActive(t)
 	s.Unblock(t.name)
 	return true
@@ -99,6 +102,7 @@
 	t := s.team(name)
 	t.foreign += foreign
 	s.addVirtual(t, foreign)
+	s.forgive(t)
 }
 
 func (s *Scheduler) charge(t *team, c decl.Class, seconds float64) {
@@ -106,14 +110,23 @@
 	s.addVirtual(t, seconds)
 }
 
-// addVirtual moves the team's virtual time, within the bounds of what is remembered.
 func (s *Scheduler) addVirtual(t *team, seconds float64) {
 	s.synchronize(t)
+	s.setVirtual(t, t.virtual+seconds/t.weight)
+}
+
+// forgive keeps the team within the bounds of what is remembered; it follows settled charges only, since a refund
+// after a forgiven charge would count twice.
+func (s *Scheduler) forgive(t *team) {
 	bound := s.virtualOf(memory)
-	t.virtual += seconds / t.weight
-	t.virtual = min(max(t.virtual, s.virtual-bound), s.virtual+bound)
+	s.setVirtual(t, min(max(t.virtual, s.virtual-bound), s.virtual+bound))
+}
+
+func (s *Scheduler) setVirtual(t *team, virtual float64) {
+	t.virtual = virtual
 	s.ready.fix(t)
 	s.urgent.fix(t)
+	s.held.fix(t)
 }
 
 // synchronize starts the team's account anew if a time without waiting work lies between.
@@ -149,82 +162,4 @@
 	t.activeWeight = weight
 }
 
-// updateReady puts the team into the heaps where it belongs now.
-func (s *Scheduler) updateReady(t *team) {
-	mayBeAsked := t.waiting > 0 && !t.parked && !t.awaitsShort
-	place(&s.ready, t, mayBeAsked)
-	place(&s.urgent, t, mayBeAsked && t.queue(decl.Urgent).nodes.len() > 0)
-}
-
-func place(h *indexHeap[*team], t *team, wanted bool) {
-	switch {
-	case wanted && !h.contains(t):
-		h.push(t)
-	case !wanted:
-		h.remove(t)
-	}
-}
-
-// parking notes until when a team is not asked; a later one of the same team replaces it.
-type parking struct {
-	team  *team
-	until time.Time
-}
-
-func (s *Scheduler) park(t *team, now time.Time) {
-	t.parked = true
-	t.parkedUntil = now.Add(RetryDelay)
-	s.parked = append(s.parked, parking{t, t.parkedUntil})
-	s.updateReady(t)
-}
-
-func (s *Scheduler) unpark(now time.Time) {
-	for len(s.parked) > 0 && !s.parked[0].until.After(now) {
-		p := s.parked[0]
-		s.parked = s.parked[1:]
-		if p.until.Equal(p.team.parkedUntil) {
-			s.release(p.team)
-		}
-	}
-}
-
-// Unblock lets a team that mayStart refused be asked again at once.
-func (s *Scheduler) Unblock(name string) {
-	if t, ok := s.teams[name]; ok {
-		s.release(t)
-	}
-}
-
-// release lets the team be asked again; it gains nothing from the time in which it could not start.
-func (s *Scheduler) release(t *team) {
-	if !t.parked {
-		return
-	}
-	t.parked = false
-	s.synchronize(t)
-	t.virtual = max(t.virtual, s.virtual)
-	s.updateReady(t)
-}
-
-func (s *Scheduler) awaitShort(t *team) {
-	t.awaitsShort = true
-	if !t.listedShort {
-		t.listedShort = true
-		s.awaitsShort = append(s.awaitsShort, t)
-	}
-	s.updateReady(t)
-}
-
-func (s *Scheduler) releaseShort() {
-	if s.longFull() {
-		return
-	}
-	for _, t := range s.awaitsShort {
-		t.awaitsShort = false
-		t.listedShort = false
-		s.updateReady(t)
-	}
-	s.awaitsShort = s.awaitsShort[:0]
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/core/share/scheduler.go
+++ b/core/share/scheduler.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -17,13 +18,11 @@
 	shortestCharge = 5 * time.Millisecond
 	longestCharge  = 500 * time.Millisecond
 	// Time of its own share by which a team may be ahead at most before more is forgiven, or behind at most.
-	memory = 10 * time.Second
+	memory = 4 * time.Second
 	// Time of its own share by which a team's urgent work may run ahead of other teams' work.
 	urgentLead = 500 * time.Millisecond
 	// Work that is expected to take longer than this runs long.
 	longRun = 8400 * time.Millisecond
-	// Part of the slots that work which runs long leaves free, so that urgent work finds a slot.
-	longReserve = 0.1
 	// Part of the expected run time that must be left before a deadline for an item not to be shed.
 	shedPart = 0.5
 )
@@ -36,16 +35,18 @@
 	urgent       indexHeap[*team] // those of them with urgent work waiting
 	shed         indexHeap[*node] // waiting items with a deadline
 	paid         indexHeap[*node] // running items by the time they are charged for
-	parked       []parking        // teams refused by mayStart, in order of their next try
-	awaitsShort  []*team          // waiting for work that runs long to end
+	held         indexHeap[*team] // parked ones whose work that runs long waits until nobody else does
+	parked       []parking        // teams that are not asked for a short time, in order of its end
 	virtual      float64
 	busyPeriod   uint64
 	activeWeight float64
+	rate         virtualRate
 	waiting      int
 	running      int
 	runningLong  int
 	slots        int
 	sequence     uint64
+	longReserve  float64
 }
 
 // New returns an empty scheduler.
@@ -59,15 +60,16 @@
 	s.nodes = map[string]*node{}
 	s.ready = indexHeap[*team]{less: virtualLess, place: func(t *team) *int { return &t.readyPlace }}
 	s.urgent = indexHeap[*team]{less: virtualLess, place: func(t *team) *int { return &t.urgentPlace }}
+	s.held = indexHeap[*team]{less: virtualLess, place: func(t *team) *int { return &t.heldPlace }}
 	s.shed = indexHeap[*node]{less: shedLess, place: func(n *node) *int { return &n.shedPlace }}
 	s.paid = indexHeap[*node]{less: paidLess, place: func(n *node) *int { return &n.paidPlace }}
 }
 
 // SetSlots sets how many slots the dispatcher fills, 0 if that is not known.
-func (s *Scheduler) SetSlots(slots int) {
-	s.slots = slots
-	s.releaseShort()
-}
+func (s *Scheduler) SetSlots(slots int) { s.slots = slots }
+
+// SetLongReserve sets the percentage of the slots that work which runs long leaves free.
+func (s *Scheduler) SetLongReserve(percent int) { s.longReserve = float64(percent) / 100 }
 
 // SetTeam sets a team's weight and how many of its items may wait; a value below 1 means the default.
 func (s *Scheduler) SetTeam(name string, weight, queueLength int) {
@@ -126,11 +128,11 @@
 		n.shedAt = d.Add(-s.leastRun(n))
 		s.shed.push(n)
 	}
-	if t.awaitsShort && !t.runsLong(n) {
-		t.awaitsShort = false
-	}
 	s.updateActive(t)
 	s.updateReady(t)
+	if t.holdsLong && !t.runsLong(n) {
+		s.release(t)
+	}
 }
 
 // leastRun is the time that an item needs at least, as far as run times were observed.
@@ -199,18 +201,19 @@
 func (s *Scheduler) Next(now time.Time, mayStart func(team string) bool) (Item, bool) {
 	s.advance(now)
 	s.unpark(now)
+	s.rate.note(s.virtual, now)
 	for {
 		t, ok := s.leader()
 		if !ok {
-			return Item{}, false
+			return s.nextHeld(now, mayStart)
 		}
-		n, ok := t.pick(now, s.entitledSlots(t), s.longFull())
+		n, ok := t.pick(now, s.entitledSlots(t), s.longFull() || s.beyondShare(t))
 		if !ok {
-			s.awaitShort(t)
+			s.park(t, true, now)
 			continue
 		}
 		if mayStart != nil && !mayStart(t.name) {
-			s.park(t, now)
+			s.park(t, false, now)
 			continue
 		}
 		s.start(n, now)
@@ -218,6 +221,52 @@
 	}
 }
 
+// nextHeld starts work that runs long beyond its team's share, since no other team waits.
+func (s *Scheduler) nextHeld(now time.Time, mayStart func(team string) bool) (Item, bool) {
+	for !s.longFull() {
+		t, ok := s.held.top()
+		if !ok {
+			break
+		}
+		n, ok := t.pick(now, s.entitledSlots(t), false)
+		if !ok || mayStart != nil && !mayStart(t.name) {
+			s.park(t, false, now)
+			continue
+		}
+		s.start(n, now)
+		return n.item, true
+	}
+	return Item{}, false
+}
+
+// beyondShare tells whether the team runs as much as its share, so that more long runs would take others' slots.
+func (s *Scheduler) beyondShare(t *team) bool {
+	rate := s.rate.perSecond
+	if rate == 0 {
+		rate = s.slotCount() / max(s.activeWeight, t.weight)
+	}
+	return float64(t.running) >= max(math.Round(t.weight*rate), 1)
+}
+
+// Take takes out up to n waiting items of the team, in the order in which they would start, for another dispatcher.
+func (s *Scheduler) Take(name string, n int, now time.Time) []Item {
+	t, ok := s.teams[name]
+	if !ok {
+		return nil
+	}
+	var out []Item
+	for len(out) < n {
+		next, found := t.pick(now, s.entitledSlots(t), false)
+		if !found {
+			return out
+		}
+		s.dequeue(next)
+		delete(s.nodes, next.item.ID())
+		out = append(out, next.item)
+	}
+	return out
+}
+
 // leader returns the team with the least virtual time, or one with urgent work that is hardly ahead of it.
 func (s *Scheduler) leader() (*team, bool) {
 	least, ok := s.ready.top()
@@ -235,7 +284,7 @@
 	if s.slots == 0 {
 		return false
 	}
-	return float64(s.runningLong) >= (1-longReserve)*float64(s.slots)
+	return float64(s.runningLong) >= (1-s.longReserve)*float64(s.slots)
 }
 
 func (s *Scheduler) start(n *node, now time.Time) {
@@ -248,6 +297,14 @@
 // Waiting returns the number of waiting items.
 func (s *Scheduler) Waiting() int { return s.waiting }
 
+// WaitingOf returns the number of the team's waiting items.
+func (s *Scheduler) WaitingOf(team string) int {
+	if t, ok := s.teams[team]; ok {
+		return t.waiting
+	}
+	return 0
+}
+
 // Running returns the number of running items.
 func (s *Scheduler) Running() int { return s.running }
 
--- a/core/share/team.go
+++ b/core/share/team.go
@@ -71,10 +71,10 @@
 	queues       [classes]classQueue
 	parkedUntil  time.Time
 	parked       bool
-	awaitsShort  bool // only work that runs long waits, and no more of it may start now
-	listedShort  bool // already in the scheduler's list of such teams
+	holdsLong    bool // parked because only work that runs long waits, beyond the team's share
 	readyPlace   int
 	urgentPlace  int
+	heldPlace    int
 	activeWeight float64 // the weight that counts as active, 0 while idle
 }
 
