--- /dev/null
+++ b/mango/cmds/follow_test.go
@@ -0,0 +1,66 @@
+package cmds
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangowing/core/event"
+)
+
+// fakeTimeline answers each call with the next list of stamps, given in milliseconds, that the filter lets through.
+type fakeTimeline struct {
+	t       *testing.T
+	answers [][]int64
+	since   []int64
+	end     context.CancelFunc
+}
+
+func (f *fakeTimeline) Events(_ context.Context, filter event.Filter) ([]event.Event, error) {
+	f.since = append(f.since, filter.Since.Time().UnixMilli())
+	answer := f.answers[0]
+	f.answers = f.answers[1:]
+	if len(f.answers) == 0 {
+		f.end()
+	}
+	var out []event.Event
+	for _, ms := range answer {
+		var e event.Event
+		text := fmt.Sprintf(`{"stamp":%d,"process":"g","kind":"e%d"}`, ms<<counterBits, ms)
+		assert.NilError(f.t, e.UnmarshalJSON([]byte(text)))
+		if filter.Matches(e) {
+			out = append(out, e)
+		}
+	}
+	return out, nil
+}
+
+func TestFollowShowsEachEventOnceAlsoIfGatheredLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var out bytes.Buffer
+		fake := &fakeTimeline{t: t, end: cancel, answers: [][]int64{
+			{10_000, 12_000},
+			{10_000, 11_000, 12_000},
+			{11_000, 20_000, 19_000},
+			{12_000, 19_000, 20_000, 21_000},
+			{},
+		}}
+		s := &Shell{spec: Spec{Out: &out}, output: outputTable}
+		begun := time.Now()
+		assert.NilError(t, s.followEvents(ctx, fake, event.Filter{Since: stampAt(time.UnixMilli(9000))}))
+		var shown []string
+		for _, line := range strings.Split(strings.TrimSpace(out.String()), "\n") {
+			shown = append(shown, strings.Fields(line)[2])
+		}
+		assert.DeepEqual(t, shown, []string{"e10000", "e12000", "e11000", "e19000", "e20000", "e21000"})
+		assert.DeepEqual(t, fake.since, []int64{9000, 9000, 9000, 15_000, 16_000})
+		assert.Equal(t, time.Since(begun), 4*timelinePoll)
+	})
+}
