Add the registry that lets each ticket and key start once

Cause: nothing kept a repeat of a request from running twice. A caller's own key starts under the first claim only, and a claim that was not read back is remembered as given up, so that it starts later at most here and once. Found on the way: a lost claim is certainly not run only if every gate answers that it knows nothing of the key and has been running for longer than the own view of the log's end is old; the walk shows the false not-run without either condition.

--- /dev/null
+++ b/core/ticket/estate.go
@@ -0,0 +1,103 @@
+package ticket
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+)
+
+// Estate is everything that a stopping gate hands to its successor.
+type Estate struct {
+	w estateWire
+}
+
+type estateWire struct {
+	From        string                `json:"from"`
+	Authorities map[string]*authority `json:"authorities"`
+	Entries     map[string]*entry     `json:"entries"`
+	Kept        []string              `json:"kept"`
+}
+
+// From returns the incarnation that hands over.
+func (e Estate) From() string { return e.w.From }
+
+// MarshalJSON returns the estate's wire form.
+func (e Estate) MarshalJSON() ([]byte, error) { return json.Marshal(e.w) }
+
+// UnmarshalJSON reads the estate's wire form.
+func (e *Estate) UnmarshalJSON(b []byte) error { return json.Unmarshal(b, &e.w) }
+
+// HandOver gives up every authority for good, then returns it for the successor. Requests that run here stay until
+// their answers are passed on.
+func (r *Registry) HandOver(successor string) Estate {
+	w := estateWire{From: r.incarnation, Authorities: r.authorities, Entries: map[string]*entry{}, Kept: r.kept}
+	for id, e := range r.entries {
+		copied := *e
+		switch {
+		case e.Phase == claiming:
+			copied.Phase = abandoned
+		case e.Phase == running && e.Away == "":
+			copied.Away = r.incarnation
+		}
+		w.Entries[id] = &copied
+	}
+	for incarnation := range r.authorities {
+		r.adopted[incarnation] = true
+	}
+	r.authorities = map[string]*authority{}
+	maps.DeleteFunc(r.entries, func(_ string, e *entry) bool { return e.Phase != running || e.Away != "" })
+	r.kept, r.keptBytes = nil, 0
+	r.successor = successor
+	return Estate{w}
+}
+
+// Redirect names another successor after the first one has refused the estate; it did not take anything then.
+func (r *Registry) Redirect(successor string) { r.successor = successor }
+
+// Adopt takes an estate over once and tells whether this gate has it; a gate that has handed over refuses.
+func (r *Registry) Adopt(e Estate) bool {
+	if r.adopted[e.w.From] {
+		return true
+	}
+	if r.successor != "" {
+		return false
+	}
+	for incarnation, a := range e.w.Authorities {
+		r.authorities[incarnation] = a
+		r.adopted[incarnation] = true
+	}
+	r.adopted[e.w.From] = true
+	for id, handed := range e.w.Entries {
+		r.inherit(id, handed)
+	}
+	for _, id := range e.w.Kept {
+		if kept, ok := r.entries[id]; ok && kept.Phase == finished && !slices.Contains(r.kept, id) {
+			r.keep(id, kept)
+		}
+	}
+	return true
+}
+
+// inherit takes a handed entry over unless this gate's own one knows more; claims of both count.
+func (r *Registry) inherit(id string, handed *entry) {
+	own, used := r.entries[id]
+	if !used {
+		r.entries[id] = handed
+		return
+	}
+	claims := append(slices.Clone(own.Claims), handed.Claims...)
+	if own.Phase == abandoned || own.Phase == claiming && handed.Phase != abandoned {
+		r.entries[id] = handed
+		own = handed
+	}
+	own.Claims = claims
+}
+
+// Gone notes that the incarnation certainly ended: what it ran for this gate's tickets has no known outcome.
+func (r *Registry) Gone(incarnation string, outcome Answer) {
+	for _, e := range r.entries {
+		if e.Phase == running && e.Away == incarnation {
+			e.Phase, e.Away, e.Answer = finished, "", outcome
+		}
+	}
+}
