--- a/stand/load/caller.go
+++ b/stand/load/caller.go
@@ -31,6 +31,7 @@
 	wrong    string
 	notRunAt []int
 	attempts int
+	began    time.Time
 	took     time.Duration
 }
 
@@ -53,7 +54,7 @@
 
 func (c *caller) run(ctx context.Context) verdict {
 	began := time.Now()
-	v := verdict{id: c.id}
+	v := verdict{id: c.id, began: began}
 	ctx, cancel := context.WithTimeout(ctx, giveUpAfter+c.stream.timeout)
 	defer cancel()
 	if c.stream.repeat == repeatTicket && !c.takeTicket(ctx) {
--- a/stand/load/load_test.go
+++ b/stand/load/load_test.go
@@ -224,8 +224,9 @@
 	defer stand.Close()
 	counts, err := readOnce(t.Context(), stand.Listener.Addr().String())
 	assert.NilError(t, err)
-	results := &Results{streams: []Stream{newStream(repeatTicket, false)}, verdicts: [][]verdict{{
-		{id: "w", outcome: codes.Ran, answered: true, took: 2 * time.Millisecond},
+	began := time.Now()
+	results := &Results{streams: []Stream{newStream(repeatTicket, false)}, began: began, verdicts: [][]verdict{{
+		{id: "w", outcome: codes.Ran, answered: true, began: began.Add(300 * time.Millisecond), took: 2 * time.Millisecond},
 		{id: "x", outcome: codes.NotRun, code: codes.TeamLimit, answered: true},
 	}}}
 	var table, output strings.Builder
--- a/stand/load/report.go
+++ b/stand/load/report.go
@@ -56,6 +56,9 @@
 	totalsWire
 	P50Ms float64 `json:"p50-ms"`
 	P99Ms float64 `json:"p99-ms"`
+	MaxMs float64 `json:"max-ms"`
+	// MaxAtMs is when the slowest request was sent, since the load began.
+	MaxAtMs int64 `json:"max-at-ms"`
 }
 
 type teamWire struct {
@@ -83,7 +86,7 @@
 	starts := counts.startsByWork()
 	byCode := map[codes.Code]int{}
 	for i := range results.streams {
-		row := r.checkStream(&results.streams[i], results.verdicts[i], starts)
+		row := r.checkStream(results, i, starts)
 		r.w.Queues = append(r.w.Queues, row)
 		r.w.Totals.add(row.totalsWire)
 		for _, v := range results.verdicts[i] {
@@ -110,13 +113,15 @@
 	t.Wrong += o.Wrong
 }
 
-func (r *Report) checkStream(s *Stream, verdicts []verdict, starts map[string]map[int]int) rowWire {
+func (r *Report) checkStream(results *Results, i int, starts map[string]map[int]int) rowWire {
+	s := &results.streams[i]
 	row := rowWire{Stream: s.name, Queue: s.queue}
 	took := hdrhistogram.New(1, maxTook.Microseconds(), tookDigits)
-	for _, v := range verdicts {
+	for _, v := range results.verdicts[i] {
 		row.count(v)
 		if v.outcome == codes.Ran {
 			_ = took.RecordValue(v.took.Microseconds())
+			row.noteSlowest(v, results.began)
 		}
 		r.checkWork(&row, s, v, starts[v.id])
 	}
@@ -125,6 +130,12 @@
 	return row
 }
 
+func (row *rowWire) noteSlowest(v verdict, began time.Time) {
+	if ms := milliseconds(v.took.Microseconds()); ms > row.MaxMs {
+		row.MaxMs, row.MaxAtMs = ms, v.began.Sub(began).Milliseconds()
+	}
+}
+
 func milliseconds(us int64) float64 { return float64(us) / 1000 }
 
 func (row *rowWire) count(v verdict) {
@@ -214,11 +225,12 @@
 // WriteTable writes the report for people.
 func (r *Report) WriteTable(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "stream\tqueue\tsent\tran\tnot-run\tunknown\tlost\tdoubled\tfalse not-run\twrong\tp50 ms\tp99 ms\t")
+	fmt.Fprintln(t, "stream\tqueue\tsent\tran\tnot-run\tunknown\tlost\tdoubled\tfalse not-run\twrong\tp50 ms\tp99 ms\tmax ms\tat s\t")
 	for _, row := range r.w.Queues {
-		fmt.Fprintf(t, "%s\t%s\t%s%.1f\t%.1f\t\n", row.Stream, row.Queue, row.columns(), row.P50Ms, row.P99Ms)
+		fmt.Fprintf(t, "%s\t%s\t%s%.1f\t%.1f\t%.1f\t%.1f\t\n",
+			row.Stream, row.Queue, row.columns(), row.P50Ms, row.P99Ms, row.MaxMs, float64(row.MaxAtMs)/1000)
 	}
-	fmt.Fprintf(t, "all\t\t%s\t\t\n", r.w.Totals.columns())
+	fmt.Fprintf(t, "all\t\t%s\t\t\t\t\n", r.w.Totals.columns())
 	if err := t.Flush(); err != nil {
 		return err
 	}
--- a/stand/load/runner.go
+++ b/stand/load/runner.go
@@ -10,7 +10,7 @@
 
 // Run sends every stream's load for a duration, waits for the last answers and returns how each piece of work ended.
 func Run(ctx context.Context, balancer *Balancer, streams []Stream, duration time.Duration) *Results {
-	results := &Results{verdicts: make([][]verdict, len(streams)), streams: streams}
+	results := &Results{verdicts: make([][]verdict, len(streams)), streams: streams, began: time.Now()}
 	stop := time.Now().Add(duration)
 	run := rand.Text()[:8]
 	var wg sync.WaitGroup
@@ -67,6 +67,7 @@
 // Results is how every piece of work ended, by stream.
 type Results struct {
 	streams  []Stream
+	began    time.Time
 	mu       sync.Mutex
 	verdicts [][]verdict
 }
