--- a/core/ticket/estate.go
+++ b/core/ticket/estate.go
@@ -101,3 +101,31 @@
 		}
 	}
 }
+
+// Passed notes what became of a run that went on at the incarnation after it had handed over: its answer, or nil if it
+// surely did not run. A repeat changes nothing. It returns where to pass that on to, empty for nowhere.
+func (r *Registry) Passed(id, from string, answer *Answer) (passTo string) {
+	if r.successor != "" {
+		return r.successor
+	}
+	e, ok := r.entries[id]
+	switch {
+	case !ok || e.Phase != running || e.Away != from:
+	case answer == nil:
+		r.Release(id)
+	default:
+		r.Finish(id, *answer)
+	}
+	return ""
+}
+
+// Away returns the incarnations that still run work for tickets that they handed over to this gate.
+func (r *Registry) Away() []string {
+	var out []string
+	for _, e := range r.entries {
+		if e.Phase == running && e.Away != "" && !slices.Contains(out, e.Away) {
+			out = append(out, e.Away)
+		}
+	}
+	return out
+}
--- a/core/ticket/registry_test.go
+++ b/core/ticket/registry_test.go
@@ -112,8 +112,10 @@
 		{"answers move", nil, heir, done, "repeat ok whole"},
 		{"work at the giver runs on", nil, heir, busy, "running"},
 		{"its answer is passed on", func() {
-			assert.Equal(t, giver.Finish(busy, answer("late")), "gate-2.B")
-			heir.Finish(busy, answer("late"))
+			late := answer("late")
+			assert.Equal(t, giver.Finish(busy, late), "gate-2.B")
+			assert.Equal(t, heir.Passed(busy, "gate-1.A", &late), "")
+			assert.Equal(t, heir.Passed(busy, "gate-1.A", nil), "")
 		}, heir, busy, "repeat ok late"},
 	}
 	for _, s := range scenarios {
@@ -124,6 +126,18 @@
 	}
 }
 
+func TestRepeatedMessageReleasesNoLaterRun(t *testing.T) {
+	giver, heir := New("gate-1.A", Options{}), New("gate-2.B", Options{})
+	busy := giver.Mint(begun)
+	giver.Begin(busy, "d", begun)
+	heir.Adopt(giver.HandOver("gate-2.B"))
+	assert.Equal(t, giver.Release(busy), "gate-2.B")
+	heir.Passed(busy, "gate-1.A", nil)
+	assert.Equal(t, name(heir.Begin(busy, "d", begun)), "start")
+	heir.Passed(busy, "gate-1.A", nil)
+	assert.Equal(t, name(heir.Begin(busy, "d", begun)), "running")
+}
+
 func TestGiverGoneBeforeItsAnswerCame(t *testing.T) {
 	giver, heir := New("gate-1.A", Options{}), New("gate-2.B", Options{})
 	busy := giver.Mint(begun)
--- a/core/ticket/walk_harness_test.go
+++ b/core/ticket/walk_harness_test.go
@@ -75,8 +75,8 @@
 }
 
 type pass struct {
-	id, to   string
-	released bool
+	id, from, to string
+	released     bool
 }
 
 func newWalk(seed uint64, s slip) *walk {
@@ -346,7 +346,7 @@
 		to = registry.Finish(ended.id, NewAnswer(AnswerSpec{Status: 200, Body: []byte("whole answer")}))
 	}
 	if to != "" {
-		w.passes = append(w.passes, pass{ended.id, to, released})
+		w.passes = append(w.passes, pass{ended.id, registry.incarnation, to, released})
 	}
 }
 
@@ -396,15 +396,21 @@
 	if len(w.passes) == 0 {
 		return
 	}
-	p := w.passes[0]
-	w.passes = w.passes[1:]
+	i := w.r.IntN(len(w.passes))
+	p := w.passes[i]
+	if w.r.Float64() < 0.6 { // else it is repeated later
+		w.passes = slices.Delete(w.passes, i, i+1)
+	}
 	g := w.holder(p.to)
+	if g == nil || g.registry.incarnation != p.to {
+		return
+	}
+	answer := NewAnswer(AnswerSpec{Status: 200, Body: []byte("whole answer")})
 	switch {
-	case g == nil || g.registry.incarnation != p.to:
 	case p.released:
-		g.registry.Release(p.id)
+		g.registry.Passed(p.id, p.from, nil)
 	default:
-		g.registry.Finish(p.id, NewAnswer(AnswerSpec{Status: 200, Body: []byte("whole answer")}))
+		g.registry.Passed(p.id, p.from, &answer)
 	}
 }
 
