--- a/core/fold/folder.go
+++ b/core/fold/folder.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"maps"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
@@ -20,6 +21,7 @@
 	recentIDs   = 8192
 	claimsKept  = 20_000
 	historyKept = 200
+	maxLease    = time.Hour
 	jobsKept    = 50_000
 )
 
@@ -122,6 +124,9 @@
 	}
 	f.state.seq++
 	v := f.applyBody(r)
+	if v.code == codes.RecordMalformed {
+		f.state.malformed++
+	}
 	v.id = r.ID()
 	f.remember(r.ID(), v.code)
 	return v
@@ -191,6 +196,9 @@
 
 func (f *Folder) applyLease(l record.Lease) Verdict {
 	current := f.state.lease.w
+	if l.Holder() == "" || l.TTLMs() <= 0 || l.TTLMs() > maxLease.Milliseconds() {
+		return refuse(codes.RecordMalformed, "a lease needs a holder and a time of at most "+maxLease.String())
+	}
 	if l.Base() != current.Revision {
 		return refuse(codes.RevisionConflict, "the lease changed")
 	}
@@ -210,6 +218,12 @@
 	if f.fenced(s.Token) {
 		return refuse(codes.FencedOff, "the planner's lease passed on")
 	}
+	if s.VM == "" {
+		return refuse(codes.RecordMalformed, "a step needs a VM")
+	}
+	if _, ok := f.state.Config().Pool(s.Target); s.State == VMDraining && s.Target != "" && !ok {
+		return refuse(codes.ObjectUnknown, "pool "+s.Target)
+	}
 	current := f.state.VM(s.VM)
 	if s.Base != current.w.Revision {
 		return refuse(codes.RevisionConflict, "VM "+s.VM+" changed")
@@ -257,6 +271,9 @@
 	if f.fenced(s.Token()) {
 		return refuse(codes.FencedOff, "the planner's lease passed on")
 	}
+	if _, ok := f.state.Config().Wave(s.Wave()); !ok {
+		return refuse(codes.ObjectUnknown, "wave "+s.Wave())
+	}
 	current := f.state.Wave(s.Wave())
 	if s.Base() != current.w.Revision {
 		return refuse(codes.RevisionConflict, "wave "+s.Wave()+" changed")
@@ -277,6 +294,9 @@
 	if f.fenced(s.Token) {
 		return refuse(codes.FencedOff, "the planner's lease passed on")
 	}
+	if s.Job == "" {
+		return refuse(codes.RecordMalformed, "a step needs a job")
+	}
 	current, known := f.state.jobs.get(s.Job)
 	if s.Base != current.w.Revision {
 		return refuse(codes.RevisionConflict, "job "+s.Job+" changed")
@@ -396,7 +416,8 @@
 	if a.Base() != current.Revision {
 		return refuse(codes.RevisionConflict, "the split of team "+a.Team()+" changed")
 	}
-	next := allotState{Revision: f.state.seq, Split: maps.Clone(current.Split), Pending: current.Pending}
+	next := allotState{Revision: f.state.seq, Split: make(map[string]int, len(current.Split)), Pending: current.Pending}
+	maps.Copy(next.Split, current.Split)
 	switch a.Phase() {
 	case "intent":
 		_, declared := current.Split[a.To()]
--- a/core/fold/rules.go
+++ b/core/fold/rules.go
@@ -65,24 +65,43 @@
 		split[order[0]] = limit
 		return split
 	}
-	for ; total < limit; total++ {
-		split[extreme(split, order, false)]++
+	for total < limit {
+		total += level(split, order, limit-total, 1)
 	}
-	for ; total > limit; total-- {
-		split[extreme(split, order, true)]--
+	for total > limit {
+		total -= level(split, order, total-limit, -1)
 	}
 	return split
 }
 
-// extreme returns the data centre with the fewest rights, or the most; the first in order among equals.
-func extreme(split map[string]int, order []string, most bool) string {
-	best := order[0]
-	for _, dc := range order[1:] {
-		if most && split[dc] > split[best] || !most && split[dc] < split[best] {
-			best = dc
+// level changes the counts of the data centres furthest behind (direction 1) or ahead (-1) by up to n in all, at most until they
+// are even with the next ones, and returns by how much. The first in order take what can't be divided.
+func level(split map[string]int, order []string, n, direction int) int {
+	furthest, gap, members := split[order[0]], 0, []string(nil)
+	for _, dc := range order {
+		furthest = direction * min(direction*furthest, direction*split[dc])
+	}
+	for _, dc := range order {
+		distance := direction * (split[dc] - furthest)
+		switch {
+		case distance == 0:
+			members = append(members, dc)
+		case gap == 0 || distance < gap:
+			gap = distance
 		}
 	}
-	return best
+	each := n / len(members)
+	if gap > 0 {
+		each = min(each, gap)
+	}
+	if each == 0 {
+		members = members[:n]
+		each = 1
+	}
+	for _, dc := range members {
+		split[dc] += direction * each
+	}
+	return each * len(members)
 }
 
 func rendezvousOrder(key string, names []string) []string {
