--- a/core/ticket/walk_harness_test.go
+++ b/core/ticket/walk_harness_test.go
@@ -146,7 +146,7 @@
 	case op < 0.95:
 		w.deliverPass()
 	case op < 0.96:
-		w.expire(g)
+		g.registry.Expire(w.now)
 	default:
 		w.noteGone(g)
 	}
@@ -414,10 +414,6 @@
 	}
 }
 
-func (w *walk) expire(g *walkGate) {
-	g.registry.Expire(w.now)
-}
-
 // noteGone tells a gate which incarnations certainly ended.
 func (w *walk) noteGone(g *walkGate) {
 	alive := map[string]bool{}
