--- /dev/null
+++ b/gate/daemon/limits/scale_test.go
@@ -0,0 +1,31 @@
+package limits
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mangowing/core/fold"
+	"mangowing/core/record"
+)
+
+// BenchmarkFollow compares the allotments of 750 teams with those of the state before, where nothing changed.
+func BenchmarkFollow(b *testing.B) {
+	objects := []record.Object{record.NewObject("fleet", "plant", 0).With("data-centres", testDC)}
+	for i := range 750 {
+		objects = append(objects, record.NewObject("team", fmt.Sprint("team-", i), 0).
+			With("organisation", "body-works").With("share", "1").With("limit", "40"))
+	}
+	data, err := record.EncodeBatch([]record.Record{record.New("operator", 0, record.NewChange(objects, ""))})
+	assert.NilError(b, err)
+	folder := fold.NewFolder()
+	_, err = folder.Apply(1, data)
+	assert.NilError(b, err)
+	state := folder.Publish()
+	a := allotments{dataCentre: testDC}
+	assert.Equal(b, len(a.follow(state)), 750)
+	for b.Loop() {
+		a.follow(state)
+	}
+}
