Replay a recorded demand trace over share and routing, and mend what it shows

Found by the replay and mended. Urgent work behind a flood of long work waited 20 s and was shed: a part of the slots is now kept from work that runs long (25%, settable), work without an observed run time counts as long, since declared times were wrong by 40 times, and an item that runs on counts as an observation. Urgent work is exempt, and the first run of a class, else a class that nobody has seen never starts. Urgent work starts first while its team holds fewer slots than its share; half a second of virtual time was too little behind long work.

Seen to fail: no ejection, retries by count, no reserve, first come first served, set aside after one worker, repeats of non-idempotent requests, unobserved work taken as short.

--- a/Makefile
+++ b/Makefile
@@ -42,5 +42,8 @@
 	@fresh=$$(mktemp -d); trap 'rm -rf $$fresh' EXIT; $(MAKE) -s generate PAGES=$$fresh; \
 	for page in $(GENERATED); do diff -u docs/$$page $$fresh/$$page || { echo "docs/$$page differs: run make generate"; exit 1; }; done
 
+policy: ## print what each policy achieves over the recorded demand trace, a table a question
+	go run ./core/replay/cmd
+
 clean: ## remove build output
 	rm -rf $(BIN)
--- /dev/null
+++ b/core/replay/cmd/main.go
@@ -0,0 +1,24 @@
+// Command cmd prints the comparison of policies for each user.
+package main
+
+import (
+	"fmt"
+
+	"mangowing/core/replay"
+)
+
+// sources make the tables of one user, in the order in which they are printed.
+var sources = []func(user string) []replay.Table{
+	replay.Tables,
+}
+
+func main() {
+	for _, user := range replay.Users() {
+		fmt.Printf("## %s\n\n", user)
+		for _, source := range sources {
+			for _, table := range source(user) {
+				fmt.Println(table)
+			}
+		}
+	}
+}
--- a/core/route/budget.go
+++ b/core/route/budget.go
@@ -1,6 +1,11 @@
 package route
 
+import "time"
+
 const (
+	firstJobDelay   = time.Second
+	longestJobDelay = time.Minute
+
 	defaultRetryPercent = 10
 	initialRetries      = 3
 	mostRetries         = 20 // that may be saved up for a burst
@@ -39,3 +44,8 @@
 	b.saved -= 100
 	return true
 }
+
+// JobDelay returns how long a job waits after its given number of failures before it asks the budget for another try.
+func JobDelay(failures int) time.Duration {
+	return doubled(firstJobDelay, longestJobDelay, max(failures-1, 0))
+}
--- a/core/route/target.go
+++ b/core/route/target.go
@@ -59,7 +59,7 @@
 	longestUnreached = 10 * time.Second
 
 	firstEjection   = 10 * time.Second
-	longestEjection = 5 * time.Minute
+	longestEjection = 30 * time.Second
 	probesWanted    = 3
 )
 
--- a/core/share/account_helper.go
+++ b/core/share/account_helper.go
@@ -25,11 +25,13 @@
 func (s *Scheduler) run(n *node, now time.Time) {
 	t := n.team
 	t.running++
+	t.queue(n.item.Class()).running++
 	s.running++
 	if n.long {
 		s.runningLong++
 	}
 	s.updateActive(t)
+	s.urgent.fix(t)
 	expected := seconds(t.queue(n.item.Class()).expected(n.item.Expected()))
 	span := min(max(expected, shortestCharge), longestCharge)
 	n.paidUntil = now.Add(span)
@@ -57,11 +59,14 @@
 	}
 }
 
+// noticeLong also counts as an observation, so that the next ones are known to run long before the first has ended.
 func (s *Scheduler) noticeLong(n *node) {
-	if !n.long && n.paid > longRun.Seconds() {
-		n.long = true
-		s.runningLong++
+	if n.long || n.paid <= longRun.Seconds() {
+		return
 	}
+	n.long = true
+	s.runningLong++
+	n.team.queue(n.item.Class()).observe(n.paid)
 }
 
 // Ended charges exactly the time that an item ran, 0 if it never started; it tells whether the item was running.
@@ -75,6 +80,7 @@
 	s.paid.remove(n)
 	s.advance(now)
 	t.running--
+	t.queue(n.item.Class()).running--
 	s.running--
 	if n.long {
 		s.runningLong--
@@ -85,6 +91,7 @@
 	s.charge(t, n.item.Class(), ran.Seconds()-n.paid)
 	s.forgive(t)
 	s.updateActive(t)
+	s.urgent.fix(t)
 	s.Unblock(t.name)
 	return true
 }
--- a/core/share/doc.go
+++ b/core/share/doc.go
@@ -15,7 +15,7 @@
 //	items := s.Take(team string, n int, now time.Time) // waiting items for another dispatcher of the pool
 //	s.Service(team string) float64                     // slot-seconds charged here; prepaid seconds may be refunded
 //	s.Correct(team string, foreign float64)            // slot-seconds given elsewhere in the pool since the last call
-//	s.SetLongReserve(percent int)                      // slots that work which runs long leaves free; default 0
+//	s.SetLongReserve(percent int)                      // slots that work which runs long leaves free; default 25
 //	s.Waiting() int; s.WaitingOf(team) int; s.Running() int; s.Snapshot() []TeamSnapshot
 //
 // One scheduler for a whole pool keeps shares closest (docs/DECISIONS.md), so let one gate dispatch a pool while the
--- a/core/share/scheduler.go
+++ b/core/share/scheduler.go
@@ -19,10 +19,10 @@
 	longestCharge  = 500 * time.Millisecond
 	// Time of its own share by which a team may be ahead at most before more is forgiven, or behind at most.
 	memory = 4 * time.Second
-	// Time of its own share by which a team's urgent work may run ahead of other teams' work.
-	urgentLead = 500 * time.Millisecond
 	// Work that is expected to take longer than this runs long.
 	longRun = 8400 * time.Millisecond
+	// Part of the slots that work which runs long may hold; the rest is left for urgent work.
+	defaultLongPart = 0.75
 	// Part of the expected run time that must be left before a deadline for an item not to be shed.
 	shedPart = 0.5
 )
@@ -32,7 +32,7 @@
 	teams        map[string]*team
 	nodes        map[string]*node // waiting and running, by id
 	ready        indexHeap[*team] // teams with waiting work that may be asked
-	urgent       indexHeap[*team] // those of them with urgent work waiting
+	urgent       indexHeap[*team] // those of them with urgent work waiting, by the slots that they hold
 	shed         indexHeap[*node] // waiting items with a deadline
 	paid         indexHeap[*node] // running items by the time they are charged for
 	held         indexHeap[*team] // parked ones whose work that runs long waits until nobody else does
@@ -46,7 +46,8 @@
 	runningLong  int
 	slots        int
 	sequence     uint64
-	longReserve  float64
+	longPart     float64 // of the slots, for work that runs long
+	hasLongPart  bool
 }
 
 // New returns an empty scheduler.
@@ -59,7 +60,7 @@
 	s.teams = map[string]*team{}
 	s.nodes = map[string]*node{}
 	s.ready = indexHeap[*team]{less: virtualLess, place: func(t *team) *int { return &t.readyPlace }}
-	s.urgent = indexHeap[*team]{less: virtualLess, place: func(t *team) *int { return &t.urgentPlace }}
+	s.urgent = indexHeap[*team]{less: occupancyLess, place: func(t *team) *int { return &t.urgentPlace }}
 	s.held = indexHeap[*team]{less: virtualLess, place: func(t *team) *int { return &t.heldPlace }}
 	s.shed = indexHeap[*node]{less: shedLess, place: func(n *node) *int { return &n.shedPlace }}
 	s.paid = indexHeap[*node]{less: paidLess, place: func(n *node) *int { return &n.paidPlace }}
@@ -68,13 +69,17 @@
 // SetSlots sets how many slots the dispatcher fills, 0 if that is not known.
 func (s *Scheduler) SetSlots(slots int) { s.slots = slots }
 
-// SetLongReserve sets the percentage of the slots that work which runs long leaves free.
-func (s *Scheduler) SetLongReserve(percent int) { s.longReserve = float64(percent) / 100 }
+// SetLongReserve sets the percentage of the slots that work which runs long leaves free, at first 25.
+func (s *Scheduler) SetLongReserve(percent int) {
+	s.longPart = 1 - float64(percent)/100
+	s.hasLongPart = true
+}
 
 // SetTeam sets a team's weight and how many of its items may wait; a value below 1 means the default.
 func (s *Scheduler) SetTeam(name string, weight, queueLength int) {
 	t := s.team(name)
 	t.weight = float64(max(weight, 1))
+	s.urgent.fix(t)
 	t.queueLength = defaultQueueLength
 	if queueLength > 0 {
 		t.queueLength = queueLength
@@ -130,7 +135,7 @@
 	}
 	s.updateActive(t)
 	s.updateReady(t)
-	if t.holdsLong && !t.runsLong(n) {
+	if t.holdsLong && !t.mayBlock(n) {
 		s.release(t)
 	}
 }
@@ -267,14 +272,14 @@
 	return out
 }
 
-// leader returns the team with the least virtual time, or one with urgent work that is hardly ahead of it.
+// leader returns the team with the least virtual time, or one with urgent work that holds fewer slots than its share.
 func (s *Scheduler) leader() (*team, bool) {
 	least, ok := s.ready.top()
 	if !ok {
 		return nil, false
 	}
 	s.virtual = max(s.virtual, least.virtual)
-	if u, found := s.urgent.top(); found && u.virtual <= least.virtual+s.virtualOf(urgentLead) {
+	if u, found := s.urgent.top(); found && float64(u.running+1) <= s.entitledSlots(u) {
 		return u, true
 	}
 	return least, true
@@ -284,7 +289,11 @@
 	if s.slots == 0 {
 		return false
 	}
-	return float64(s.runningLong) >= (1-s.longReserve)*float64(s.slots)
+	part := defaultLongPart
+	if s.hasLongPart {
+		part = s.longPart
+	}
+	return float64(s.runningLong) >= part*float64(s.slots)
 }
 
 func (s *Scheduler) start(n *node, now time.Time) {
--- a/core/share/team.go
+++ b/core/share/team.go
@@ -27,6 +27,7 @@
 	teamStart    float64 // the team's charged service at that time
 	meanSeconds  float64
 	observations int
+	running      int
 }
 
 func newClassQueue() classQueue {
@@ -93,6 +94,15 @@
 	return a.name < b.name
 }
 
+// occupancyLess orders teams by the slots that they hold for each unit of weight.
+func occupancyLess(a, b *team) bool {
+	left, right := float64(a.running)*b.weight, float64(b.running)*a.weight
+	if left != right {
+		return left < right
+	}
+	return virtualLess(a, b)
+}
+
 func (t *team) queue(c decl.Class) *classQueue { return &t.queues[int(c)%classes] }
 
 func (t *team) push(n *node) {
@@ -154,14 +164,23 @@
 
 func (t *team) head(c decl.Class, shortOnly bool) (*node, bool) {
 	n, ok := t.queue(c).nodes.top()
-	if !ok || shortOnly && t.runsLong(n) {
+	if !ok || shortOnly && t.mayBlock(n) {
 		return nil, false
 	}
 	return n, true
 }
 
+// mayBlock tells whether the item may hold a slot for long; urgent work and the first run of a class go ahead.
+func (t *team) mayBlock(n *node) bool {
+	q := t.queue(n.item.Class())
+	first := q.observations == 0 && q.running == 0
+	return t.runsLong(n) && n.item.Class() != decl.Urgent && !first
+}
+
+// runsLong goes by observed run times; work without any may run long, whatever was declared.
 func (t *team) runsLong(n *node) bool {
-	return t.queue(n.item.Class()).expected(n.item.Expected()) > longRun.Seconds()
+	q := t.queue(n.item.Class())
+	return q.observations == 0 || q.meanSeconds > longRun.Seconds()
 }
 
 // mostBehind returns the head of the waiting class that lacks most of its reserved part, so that no class starves.
