Settle unknown outcomes of tickets from the worker's own report

Cause: a request whose connection broke stayed unknown for good, though the worker knows that it ran. A repeat or a look at such a ticket or key asks the worker once: ran settles it as ran with the answer gone, running as still running; not-seen proves nothing, for the worker may have been restarted. The gate's assembly has to pass the report and the attempt's place; without them nothing changes. Seen red: with the question left out, and with not-seen taken as a proof.

--- a/core/ticket/answer.go
+++ b/core/ticket/answer.go
@@ -17,6 +17,7 @@
 	Code      uint16   `json:"code"`
 	Detail    string   `json:"detail,omitempty"`
 	RequestID string   `json:"request-id,omitempty"`
+	VM        string   `json:"vm,omitempty"`
 	Status    int      `json:"status,omitempty"`
 	Header    []string `json:"header,omitempty"`
 	Body      []byte   `json:"body,omitempty"`
@@ -27,7 +28,8 @@
 type AnswerSpec struct {
 	Code      codes.Code // OK for an upstream's answer
 	Detail    string     // text for people
-	RequestID string     // the id of the request that ran
+	RequestID string     // the id under which an upstream got the request, empty for none
+	VM        string     // the VM that got it, empty for none
 	Status    int        // the upstream's HTTP status
 	Header    []string   // the upstream's headers, name and value in turn
 	Body      []byte     // the upstream's whole body
@@ -35,12 +37,12 @@
 
 // NewAnswer returns the answer described by the specification.
 func NewAnswer(s AnswerSpec) Answer {
-	return Answer{answerWire{uint16(s.Code), s.Detail, s.RequestID, s.Status, s.Header, s.Body, false}}
+	return Answer{answerWire{uint16(s.Code), s.Detail, s.RequestID, s.VM, s.Status, s.Header, s.Body, false}}
 }
 
 // Spec returns all fields of the answer.
 func (a Answer) Spec() AnswerSpec {
-	return AnswerSpec{a.Code(), a.w.Detail, a.w.RequestID, a.w.Status, a.w.Header, a.w.Body}
+	return AnswerSpec{a.Code(), a.w.Detail, a.w.RequestID, a.w.VM, a.w.Status, a.w.Header, a.w.Body}
 }
 
 // Code returns the result code.
@@ -63,5 +65,5 @@
 
 // bare returns the answer without what takes space.
 func (a Answer) bare() Answer {
-	return Answer{answerWire{Code: a.w.Code, RequestID: a.w.RequestID, Bare: true}}
+	return Answer{answerWire{Code: a.w.Code, RequestID: a.w.RequestID, VM: a.w.VM, Bare: true}}
 }
--- a/gate/daemon/once/forward_handler.go
+++ b/gate/daemon/once/forward_handler.go
@@ -92,7 +92,7 @@
 	s.mu.Unlock()
 	switch d := d.(type) {
 	case ticket.Repeat:
-		return replay(d.Answer(), sink)
+		return replay(s.settle(ctx, w.Ticket, d.Answer()), sink)
 	case ticket.AnswerGone:
 		return Outcome{code: codes.AnswerGone}
 	case ticket.Running:
--- a/gate/daemon/once/harness_test.go
+++ b/gate/daemon/once/harness_test.go
@@ -42,6 +42,7 @@
 	late    []record.Record // appends that take effect when the log is back
 	starts  map[string]int  // by body
 	next    codes.Code      // how the next run ends
+	worker  string          // what the worker reports, empty where it is silent
 }
 
 type logMode int
@@ -90,7 +91,7 @@
 	n := &node{cluster: c, slot: slot, process: proc.New(fmt.Sprint("gate-", slot)), handlers: map[string]peers.Handler{}}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.service = New(Deps{
-		Process: n.process, States: n, Recorder: n, Peers: n, Gates: n.gates, Run: n.run, AnswerBytes: 1 << 10,
+		Process: n.process, States: n, Recorder: n, Peers: n, Gates: n.gates, Run: n.run, Report: n.report, AnswerBytes: 1 << 10,
 	})
 	c.mu.Lock()
 	c.slots[slot], c.heard[slot] = n, n.process.Incarnation()
@@ -247,13 +248,24 @@
 	c.mu.Unlock()
 	time.Sleep(runTime)
 	if n.ctx.Err() != nil || ctx.Err() != nil || ends != codes.OK {
-		return NewOutcome(ends, "", false)
+		return NewOutcome(ends, "", false).At("vm-1", "attempt-1")
 	}
 	sink.Begin(http.StatusOK, http.Header{"Content-Type": {"text/plain"}}, "request-1")
 	_, _ = sink.Write([]byte("done: " + string(r.Spec().Body)))
 	return NewOutcome(codes.OK, "", true)
 }
 
+// report is the worker's own word about attempt-1, none unless the scenario sets one.
+func (n *node) report(_ context.Context, vm, attempt string) (string, error) {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	assert.Check(n.cluster.t, vm == "vm-1" && attempt == "attempt-1")
+	if n.cluster.worker == "" {
+		return "", peers.ErrSilent
+	}
+	return n.cluster.worker, nil
+}
+
 func (c *cluster) startsOf(body string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/gate/daemon/once/recorder.go
+++ b/gate/daemon/once/recorder.go
@@ -48,6 +48,7 @@
 	spec := ticket.AnswerSpec{Code: o.code, Detail: o.detail, RequestID: r.requestID}
 	switch {
 	case o.code != codes.OK:
+		spec.RequestID, spec.VM = o.attempt, o.vm
 	case r.overflow:
 		spec.Code = codes.AnswerGone
 	default:
--- a/gate/daemon/once/request.go
+++ b/gate/daemon/once/request.go
@@ -77,14 +77,23 @@
 
 // Outcome is what became of a request; the sink has the whole answer where the code is OK.
 type Outcome struct {
-	code   codes.Code
-	detail string
-	begun  bool
+	code    codes.Code
+	detail  string
+	begun   bool
+	attempt string
+	vm      string
 }
 
 // NewOutcome returns an outcome with a code, text for people and whether the sink got the beginning of an answer.
 func NewOutcome(code codes.Code, detail string, begun bool) Outcome {
-	return Outcome{code, detail, begun}
+	return Outcome{code: code, detail: detail, begun: begun}
+}
+
+// At returns the outcome with the VM and the id under which the VM's worker got the last attempt, so that the worker can
+// be asked where the outcome is unknown.
+func (o Outcome) At(vm, attempt string) Outcome {
+	o.vm, o.attempt = vm, attempt
+	return o
 }
 
 // Code returns the numbered result code.
--- a/gate/daemon/once/service.go
+++ b/gate/daemon/once/service.go
@@ -37,6 +37,9 @@
 // Run carries one request out and gives the upstream's answer to the sink; a code whose outcome is not-run must be certain.
 type Run func(ctx context.Context, r Request, sink relay.Sink) Outcome
 
+// Report tells what the VM's worker says of an attempt: "ran", "running" or "not-seen".
+type Report func(ctx context.Context, vm, attempt string) (string, error)
+
 // Deps are the parts that the service works with.
 type Deps struct {
 	Process     *proc.Process // the process
@@ -44,6 +47,7 @@
 	Recorder    Recorder      // the log
 	Peers       Peers         // calls between gates
 	Gates       func() []Gate // every declared gate, this one included
+	Report      Report        // the workers' own reports; nil leaves unknown outcomes unknown
 	Run         Run           // the way to the upstreams
 	AnswerBytes int           // how many bytes of answers are kept
 	Lifetime    time.Duration // how long a ticket may come; zero takes the default
@@ -187,7 +191,7 @@
 	case ticket.NotMine:
 		return s.forward(ctx, r, d.Holder(), sink), true
 	case ticket.Repeat:
-		return replay(d.Answer(), sink), true
+		return replay(s.settle(ctx, r.id(), d.Answer()), sink), true
 	case ticket.AnswerGone:
 		return Outcome{code: codes.AnswerGone}, true
 	case ticket.Mismatch:
--- a/gate/daemon/once/service_test.go
+++ b/gate/daemon/once/service_test.go
@@ -198,6 +198,31 @@
 	})
 }
 
+func TestWorkersReportSettlesUnknownOutcomes(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		worker   string
+		expected []string
+	}{
+		{"silent", "", []string{"upstream-broke unknown", "upstream-broke unknown"}},
+		{"running", "running", []string{"still-running unknown", "still-running unknown"}},
+		{"not seen proves nothing", "not-seen", []string{"upstream-broke unknown", "upstream-broke unknown"}},
+		{"ran", "ran", []string{"answer-gone ran", "answer-gone ran"}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			inCluster(t, func(c *cluster) {
+				r := ticketed(c.at(1).service.Mint())
+				c.next = codes.UpstreamBroke
+				c.send(0, r)
+				c.worker = s.worker
+				assert.DeepEqual(t, []string{c.send(0, r), c.send(1, r)}, s.expected)
+				assert.Equal(t, c.startsOf("bonnet"), 1)
+			})
+		})
+	}
+}
+
 func TestLookStartsNothing(t *testing.T) {
 	inCluster(t, func(c *cluster) {
 		minted := c.at(1).service.Mint()
