--- a/core/replay/policy.go
+++ b/core/replay/policy.go
@@ -33,8 +33,10 @@
 	name       string
 	layout     layout
 	arrival    bool          // first come, first served, whatever the team
-	gossip     time.Duration // how often dispatchers of the pool correct their shares, 0 for never
-	overflow   bool          // waiting work moves to dispatchers with free slots
+	gossip     time.Duration // how often dispatchers of the pool talk to each other, 0 for never
+	correct    bool          // by the service that the others gave
+	spread     bool          // gates hand requests to the data centres by their slots, not to their own
+	level      bool          // so that each has its part of every team's waiting requests
 	choice     choice
 	noEjection bool
 	retrying   retrying
--- a/core/replay/replay_test.go
+++ b/core/replay/replay_test.go
@@ -54,7 +54,7 @@
 		{"chosen", chosen()},
 		{"per gate", chosen().with("", func(p *policy) { p.layout, p.choice = perGate, twoRandom })},
 		{"per data centre", chosen().with("", func(p *policy) {
-			p.layout, p.gossip, p.overflow = perDataCentre, gossipPeriod, true
+			p.layout, p.gossip, p.correct, p.level = perDataCentre, gossipPeriod, true, true
 		})},
 	}
 	for _, sc := range scenarios {
--- a/core/replay/tables.go
+++ b/core/replay/tables.go
@@ -67,9 +67,15 @@
 		chosen().with("first come, first served, per pool", func(p *policy) { p.arrival = true }),
 		chosen().with("local queues at 8 gates, two random", func(p *policy) { p.layout, p.choice = perGate, twoRandom }),
 		chosen().with("fair, per data centre", func(p *policy) { p.layout = perDataCentre }),
-		chosen().with("fair, per data centre, gossip", func(p *policy) { p.layout, p.gossip = perDataCentre, gossipPeriod }),
-		chosen().with("fair, per data centre, gossip, level queues", func(p *policy) {
-			p.layout, p.gossip, p.overflow = perDataCentre, gossipPeriod, true
+		chosen().with("fair, per data centre, requests spread by slots", func(p *policy) { p.layout, p.spread = perDataCentre, true }),
+		chosen().with("fair, per data centre, corrected", func(p *policy) {
+			p.layout, p.gossip, p.correct = perDataCentre, gossipPeriod, true
+		}),
+		chosen().with("fair, per data centre, levelled", func(p *policy) {
+			p.layout, p.gossip, p.level = perDataCentre, gossipPeriod, true
+		}),
+		chosen().with("fair, per data centre, corrected and levelled", func(p *policy) {
+			p.layout, p.gossip, p.correct, p.level = perDataCentre, gossipPeriod, true, true
 		}),
 		chosen().with("fair, per pool (chosen)", func(*policy) {}),
 	} {
--- a/core/replay/world.go
+++ b/core/replay/world.go
@@ -194,6 +194,9 @@
 		r.dispatcher = w.dispatchers[0]
 	case perDataCentre:
 		r.dispatcher = w.dispatchers[gateDC]
+		if w.policy.spread {
+			r.dispatcher = w.dispatchers[w.workers[i%len(w.workers)].dataCentre]
+		}
 	case perGate:
 		r.dispatcher = w.dispatchers[d.gate]
 	}
@@ -228,7 +231,7 @@
 	case heartbeat:
 		w.beat()
 	case gossip:
-		w.correctShares()
+		w.exchange()
 	}
 }
 
@@ -316,7 +319,18 @@
 	return slots
 }
 
-// correctShares lets the dispatchers exchange the service that they gave, and move work to free slots.
+// exchange lets the dispatchers of the pool talk to each other.
+func (w *world) exchange() {
+	if w.policy.correct {
+		w.correctShares()
+	}
+	if w.policy.level {
+		w.levelQueues()
+	}
+	w.events.push(w.now+w.policy.gossip, gossip{})
+}
+
+// correctShares tells each dispatcher the service that the others gave.
 func (w *world) correctShares() {
 	for i, t := range w.deployment.teams {
 		for _, d := range w.dispatchers {
@@ -329,8 +343,4 @@
 			}
 		}
 	}
-	if w.policy.overflow {
-		w.levelQueues()
-	}
-	w.events.push(w.now+w.policy.gossip, gossip{})
 }
