Let the load settle open outcomes and accept refused tickets

Cause: in both demos 4 requests counted as lost after the key was withdrawn: the caller went on asking for a ticket for 30 s although the gate had answered 104 key-withdrawn, which is not run. A refused ticket now ends the work with the refusal's code. A ticket whose request ended unknown is looked up three times. Work under a ticket or key may no longer start twice either if its team is idempotent.

--- a/stand/load/caller.go
+++ b/stand/load/caller.go
@@ -20,6 +20,8 @@
 	retryPause    = 100 * time.Millisecond
 	timeoutMargin = 2 * time.Second
 	giveUpAfter   = 20 * time.Second
+	lookTries     = 3
+	lookPause     = 300 * time.Millisecond
 )
 
 // verdict is how one piece of work ended for its caller.
@@ -57,17 +59,38 @@
 	v := verdict{id: c.id, began: began}
 	ctx, cancel := context.WithTimeout(ctx, giveUpAfter+c.stream.timeout)
 	defer cancel()
-	if c.stream.repeat == repeatTicket && !c.takeTicket(ctx) {
-		return v
+	if c.stream.repeat != repeatTicket || c.takeTicket(ctx, &v) {
+		c.sendUntilSettled(ctx, &v)
 	}
+	v.took = time.Since(began)
+	return v
+}
+
+func (c *caller) sendUntilSettled(ctx context.Context, v *verdict) {
 	for ctx.Err() == nil {
-		if c.settle(&v, c.attempt(ctx, v.attempts)) {
+		if c.settle(v, c.attempt(ctx, v.attempts)) {
 			break
 		}
 		pause(ctx, retryPause)
 	}
-	v.took = time.Since(began)
-	return v
+	for range lookTries {
+		if c.ticket == "" || v.outcome != codes.Unknown {
+			return
+		}
+		pause(ctx, lookPause)
+		if r := c.look(ctx, v.attempts); r.outcome != codes.Unknown || r.wrong != "" {
+			c.note(v, r, v.attempts)
+		}
+	}
+}
+
+// look asks what became of the ticket's request.
+func (c *caller) look(ctx context.Context, n int) reply {
+	ctx, cancel := context.WithTimeout(ctx, c.stream.timeout)
+	defer cancel()
+	return c.exchange(ctx, n, func(gate string) (*http.Request, error) {
+		return c.request(ctx, http.MethodGet, "http://"+gate+"/v1/requests/"+c.ticket, nil)
+	})
 }
 
 // settle notes an attempt's reply and tells whether the caller is done.
@@ -85,11 +108,15 @@
 		}
 		return false
 	}
+	c.note(v, r, attempt)
+	return !retryAtOnce(r.code) || !c.stream.repeatable()
+}
+
+func (c *caller) note(v *verdict, r reply, attempt int) {
 	v.answered, v.outcome, v.code, v.wrong = true, r.outcome, r.code, r.wrong
 	if r.outcome == codes.NotRun {
 		v.notRunAt = append(v.notRunAt, attempt)
 	}
-	return !retryAtOnce(r.code) || !c.stream.repeatable()
 }
 
 // retryAtOnce tells whether a caller should send the request again through the balancer.
@@ -109,36 +136,46 @@
 	}
 }
 
-func (c *caller) takeTicket(ctx context.Context) bool {
+// takeTicket gets a ticket, or notes the refusal that the caller accepts; ok is false if the work ends without one.
+func (c *caller) takeTicket(ctx context.Context, v *verdict) (ok bool) {
 	for ctx.Err() == nil {
-		if ticket, ok := c.mint(ctx); ok {
+		ticket, r := c.mint(ctx)
+		if ticket != "" {
 			c.ticket = ticket
 			return true
 		}
+		if !r.unsent && !r.broken && !retryAtOnce(r.code) {
+			v.answered, v.outcome, v.code, v.wrong = true, r.outcome, r.code, r.wrong
+			return false
+		}
 		pause(ctx, retryPause)
 	}
 	return false
 }
 
-func (c *caller) mint(ctx context.Context) (ticket string, ok bool) {
+// mint asks for a ticket; without one the reply tells why.
+func (c *caller) mint(ctx context.Context) (ticket string, r reply) {
 	resp, err := c.balancer.Do(ctx, func(gate string) (*http.Request, error) {
-		return c.request(ctx, "http://"+gate+"/v1/tickets", nil)
+		return c.request(ctx, http.MethodPost, "http://"+gate+"/v1/tickets", nil)
 	})
 	if err != nil {
-		return "", false
+		return "", reply{broken: true}
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return "", stated(resp)
+	}
 	var answer struct {
 		Ticket string `json:"ticket"`
 	}
 	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
-		return "", false
+		return "", reply{broken: true}
 	}
-	return answer.Ticket, answer.Ticket != ""
+	return answer.Ticket, reply{broken: answer.Ticket == ""}
 }
 
-func (c *caller) request(ctx context.Context, target string, body []byte) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
+func (c *caller) request(ctx context.Context, method, target string, body []byte) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
@@ -151,14 +188,19 @@
 func (c *caller) attempt(ctx context.Context, n int) reply {
 	ctx, cancel := context.WithTimeout(ctx, c.stream.timeout+timeoutMargin)
 	defer cancel()
-	resp, err := c.balancer.Do(ctx, func(gate string) (*http.Request, error) {
-		req, err := c.request(ctx, "http://"+gate+"/v1/queues/"+c.stream.queue+"/requests", c.body())
+	return c.exchange(ctx, n, func(gate string) (*http.Request, error) {
+		req, err := c.request(ctx, http.MethodPost, "http://"+gate+"/v1/queues/"+c.stream.queue+"/requests", c.body())
 		if err != nil {
 			return nil, err
 		}
 		c.setHeaders(req.Header, n)
 		return req, nil
 	})
+}
+
+// exchange sends a request through the balancer and judges its answer.
+func (c *caller) exchange(ctx context.Context, n int, build func(gate string) (*http.Request, error)) reply {
+	resp, err := c.balancer.Do(ctx, build)
 	switch {
 	case errors.Is(err, errUnsent) || errors.Is(err, errNoneReady):
 		return reply{unsent: true}
@@ -194,6 +236,15 @@
 
 // judge checks that an answer names its outcome and, if the work ran, is the whole answer to one of the attempts.
 func (c *caller) judge(resp *http.Response, body []byte, n int) reply {
+	r := stated(resp)
+	if r.wrong == "" && r.code == codes.OK && !c.isWhole(body, n) {
+		r.wrong = fmt.Sprintf("answer of %d bytes is not the whole answer to %s", len(body), c.id)
+	}
+	return r
+}
+
+// stated returns what an answer's headers state, and what is wrong with them.
+func stated(resp *http.Response) reply {
 	r := reply{outcome: codes.ParseOutcome(resp.Header.Get("Mango-Outcome"))}
 	number, err := strconv.ParseUint(resp.Header.Get("Mango-Code"), 10, 16)
 	if err != nil {
@@ -204,9 +255,6 @@
 	if r.code.Entry().Outcome() != r.outcome {
 		r.wrong = fmt.Sprintf("outcome %q does not go with code %s", r.outcome, r.code)
 	}
-	if r.code == codes.OK && !c.isWhole(body, n) {
-		r.wrong = fmt.Sprintf("answer of %d bytes is not the whole answer to %s", len(body), c.id)
-	}
 	return r
 }
 
--- a/stand/load/load_test.go
+++ b/stand/load/load_test.go
@@ -38,6 +38,11 @@
 		if g.fault == "not ready" {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
+	case r.URL.Path == "/v1/tickets" && g.fault == "refuses tickets":
+		say(w, codes.KeyWithdrawn, codes.NotRun)
+	case strings.HasPrefix(r.URL.Path, "/v1/requests/"):
+		say(w, codes.OK, codes.Ran)
+		_, _ = w.Write(worker.Answer(attemptID("w", 0), 30))
 	case r.URL.Path == "/v1/tickets":
 		fmt.Fprint(w, `{"ticket":"t"}`)
 	default:
@@ -65,6 +70,10 @@
 		g.start(header)
 		say(w, codes.NoUpstream, codes.NotRun)
 		return
+	case "leaves the outcome open":
+		g.start(header)
+		say(w, codes.HolderGone, codes.Unknown)
+		return
 	case "says not-run":
 		say(w, codes.TeamLimit, codes.NotRun)
 		return
@@ -145,6 +154,10 @@
 		{"not-run, then ran elsewhere", "stops at first", repeatTicket, false, totalsWire{Sent: 1, Ran: 1}},
 		{"broken, not repeatable", "breaks at first", repeatNone, false, totalsWire{Sent: 1, Unknown: 1}},
 		{"broken, repeated although it had run", "breaks at first", repeatKey, false, totalsWire{Sent: 1, Ran: 1, Doubled: 1}},
+		{"started twice under a ticket", "doubles", repeatTicket, true, totalsWire{Sent: 1, Ran: 1, Doubled: 1}},
+		{"no ticket for a withdrawn key", "refuses tickets", repeatTicket, false, totalsWire{Sent: 1, NotRun: 1}},
+		{"settled by asking later", "leaves the outcome open", repeatTicket, false, totalsWire{Sent: 1, Ran: 1}},
+		{"an open outcome without a ticket", "leaves the outcome open", repeatNone, false, totalsWire{Sent: 1, Unknown: 1}},
 		{"broken, idempotent", "breaks at first", repeatNone, true, totalsWire{Sent: 1, Ran: 1}},
 		{"outcome against its code", "outcome against its code", repeatNone, false, totalsWire{Sent: 1, Unknown: 1, Wrong: 1}},
 		{"without a code", "without a code", repeatNone, false, totalsWire{Sent: 1, Unknown: 1, Wrong: 1}},
--- a/stand/load/mix.go
+++ b/stand/load/mix.go
@@ -122,3 +122,6 @@
 
 // repeatable tells whether a request may be sent again when its outcome is unknown.
 func (s *Stream) repeatable() bool { return s.idempotent || s.repeat != repeatNone }
+
+// atMostOnce tells whether a request may be started once only.
+func (s *Stream) atMostOnce() bool { return !s.idempotent || s.repeat != repeatNone }
--- a/stand/load/report.go
+++ b/stand/load/report.go
@@ -163,7 +163,7 @@
 		row.Lost++
 		r.found("lost: %s: no answer, %d starts", v.id, total)
 	}
-	if total > 1 && !s.idempotent {
+	if total > 1 && s.atMostOnce() {
 		row.Doubled++
 		r.found("doubled: %s: started %d times", v.id, total)
 	}
