--- a/core/replay/policy.go
+++ b/core/replay/policy.go
@@ -28,6 +28,16 @@
 	never
 )
 
+// joining is which data centre's dispatcher a gate asks.
+type joining uint8
+
+const (
+	ownDataCentre joining = iota
+	spreadBySlots
+	shortestQueue     // a free slot, else the fewest waiting for each slot
+	shortestTeamQueue // the same, but of the request's team
+)
+
 // policy is one way of taking the decisions.
 type policy struct {
 	name       string
@@ -35,8 +45,8 @@
 	arrival    bool          // first come, first served, whatever the team
 	gossip     time.Duration // how often dispatchers of the pool talk to each other, 0 for never
 	correct    bool          // by the service that the others gave
-	spread     bool          // gates hand requests to the data centres by their slots, not to their own
-	level      bool          // so that each has its part of every team's waiting requests
+	joining    joining
+	level      bool // so that each has its part of every team's waiting requests
 	choice     choice
 	noEjection bool
 	retrying   retrying
--- a/core/replay/tables.go
+++ b/core/replay/tables.go
@@ -67,7 +67,12 @@
 		chosen().with("first come, first served, per pool", func(p *policy) { p.arrival = true }),
 		chosen().with("local queues at 8 gates, two random", func(p *policy) { p.layout, p.choice = perGate, twoRandom }),
 		chosen().with("fair, per data centre", func(p *policy) { p.layout = perDataCentre }),
-		chosen().with("fair, per data centre, requests spread by slots", func(p *policy) { p.layout, p.spread = perDataCentre, true }),
+		chosen().with("fair, per data centre, requests spread by slots", func(p *policy) { p.layout, p.joining = perDataCentre, spreadBySlots }),
+		chosen().with("fair, per data centre, shortest queue", func(p *policy) { p.layout, p.joining = perDataCentre, shortestQueue }),
+		chosen().with("fair, per data centre, team's shortest queue", func(p *policy) { p.layout, p.joining = perDataCentre, shortestTeamQueue }),
+		chosen().with("fair, per data centre, team's shortest queue, levelled", func(p *policy) {
+			p.layout, p.joining, p.gossip, p.level = perDataCentre, shortestTeamQueue, gossipPeriod, true
+		}),
 		chosen().with("fair, per data centre, corrected", func(p *policy) {
 			p.layout, p.gossip, p.correct = perDataCentre, gossipPeriod, true
 		}),
--- a/core/replay/world.go
+++ b/core/replay/world.go
@@ -194,7 +194,7 @@
 		r.dispatcher = w.dispatchers[0]
 	case perDataCentre:
 		r.dispatcher = w.dispatchers[gateDC]
-		if w.policy.spread {
+		if w.policy.joining == spreadBySlots {
 			r.dispatcher = w.dispatchers[w.workers[i%len(w.workers)].dataCentre]
 		}
 	case perGate:
@@ -238,6 +238,9 @@
 func (w *world) clock() time.Time { return origin.Add(w.now) }
 
 func (w *world) arrive(r *request) {
+	if w.policy.joining >= shortestQueue {
+		r.dispatcher = w.join(r)
+	}
 	r.dispatcher.budget.Deposit()
 	w.meter.arrived(r)
 	w.enqueue(r)
