--- a/core/replay/cmd/main.go
+++ b/core/replay/cmd/main.go
@@ -5,11 +5,13 @@
 	"fmt"
 
 	"mangowing/core/replay"
+	"mangowing/core/sizing/trial"
 )
 
 // sources make the tables of one user, in the order in which they are printed.
 var sources = []func(user string) []replay.Table{
 	replay.Tables,
+	trial.Tables,
 }
 
 func main() {
--- a/core/sizing/forecast.go
+++ b/core/sizing/forecast.go
@@ -6,41 +6,53 @@
 	"mangowing/core/fleet"
 )
 
-// Forecast remembers the highest recent demand of each pool; the zero value works.
+const peakHeld = 30 * time.Minute
+
+// Forecast knows the demand of each pool now and at its highest over the last half hour or hour; the zero value works.
 type Forecast struct {
-	pools map[string]peak
+	pools map[string]*memory
 }
 
-type peak struct {
-	slots int
-	at    time.Time
+// memory holds one pool's demand and the peaks of the running window and of the one before it, all in slots.
+type memory struct {
+	demand   int
+	started  time.Time
+	previous int
+	current  int
 }
 
-const peakRemembered = 30 * time.Minute
+func (m *memory) observe(now time.Time, slots int) {
+	age := now.Sub(m.started)
+	switch {
+	case age >= 2*peakHeld:
+		m.started, m.previous, m.current = now, 0, 0
+	case age >= peakHeld:
+		m.started, m.previous, m.current = now, m.current, 0
+	}
+	m.demand, m.current = slots, max(m.current, slots)
+}
 
 // Observe takes in the demand at a time.
 func (f *Forecast) Observe(now time.Time, demand []fleet.PoolDemand) {
 	if f.pools == nil {
-		f.pools = map[string]peak{}
+		f.pools = map[string]*memory{}
 	}
 	for _, d := range demand {
-		old := f.pools[d.Pool()]
-		if d.Slots() >= old.slots || now.Sub(old.at) > peakRemembered {
-			f.pools[d.Pool()] = peak{d.Slots(), now}
+		m, known := f.pools[d.Pool()]
+		if !known {
+			m = &memory{}
+			f.pools[d.Pool()] = m
 		}
+		m.observe(now, d.Slots())
 	}
 }
 
-// Apply returns the loads with the demand filled in, only those of pools with a known demand.
-func (f *Forecast) Apply(loads []fleet.PoolLoad, demand []fleet.PoolDemand) []fleet.PoolLoad {
-	known := make(map[string]int, len(demand))
-	for _, d := range demand {
-		known[d.Pool()] = d.Slots()
-	}
+// Apply returns the loads with the demand filled in, only those of pools whose demand was observed.
+func (f *Forecast) Apply(loads []fleet.PoolLoad) []fleet.PoolLoad {
 	var out []fleet.PoolLoad
 	for _, l := range loads {
-		if slots, ok := known[l.Pool()]; ok {
-			out = append(out, l.WithDemand(slots, f.pools[l.Pool()].slots))
+		if m, known := f.pools[l.Pool()]; known {
+			out = append(out, l.WithDemand(m.demand, max(m.previous, m.current)))
 		}
 	}
 	return out
--- a/core/sizing/joint.go
+++ b/core/sizing/joint.go
@@ -2,8 +2,8 @@
 
 import "math"
 
-// A pool's recent peak is expected back within the horizon at this probability.
-const peakReturns = 0.05
+// A pool's recent peak is expected back within the horizon with this probability.
+const peakReturns = 0.005
 
 // decideJoint takes the best single move again and again; prices are convex in a pool's size, so the sum ends at its minimum.
 func (t *table) decideJoint(p Joint) {
@@ -55,12 +55,20 @@
 // price returns what a pool of n VMs costs over the horizon.
 func (p Joint) price(r *row, n int) float64 {
 	slots := float64(n * r.load.VMSlots())
-	short := max(0, r.demand()-slots)
-	risk := peakReturns * max(0, float64(r.load.RecentPeak())-slots)
-	cost := p.weights.Shortfall * (short + risk)
+	cost := p.weights.Shortfall * (max(0, r.demand()-slots) + peakReturns*r.riskAt(slots))
 	if !r.isSpare {
 		idle := max(0, slots-r.demand()) / float64(max(1, r.load.VMSlots()))
 		cost += p.weights.Idle * idle
 	}
 	return cost * p.horizon.Seconds()
 }
+
+// riskAt returns the shortfall that the recent peak would cause, at least one that fills the declared size;
+// it grows with the square, so that the largest pools give first.
+func (r *row) riskAt(slots float64) float64 {
+	peak := float64(max(r.load.RecentPeak(), r.load.Home()*r.load.VMSlots()))
+	if peak <= slots {
+		return 0
+	}
+	return (peak - slots) * (peak - slots) / peak
+}
--- a/core/sizing/policy.go
+++ b/core/sizing/policy.go
@@ -38,8 +38,19 @@
 const (
 	defaultHighMark = 0.85
 	defaultLowMark  = 0.30
+	// At equal weights a move costs as much as this many slot-seconds of shortfall.
+	moveUnit = 100
+	// At equal weights an idle VM-second costs as much as this many slot-seconds of shortfall.
+	idleUnit = 0.05
+	// A move is never free: a VM on its way serves no pool.
+	leastMoveWeight = 0.5
 )
 
+// WeightsOf returns the prices that the fleet's declared weights stand for.
+func WeightsOf(f decl.Fleet) Weights {
+	return Weights{Shortfall: f.WeightShare(), Move: moveUnit * max(leastMoveWeight, f.WeightMoves()), Idle: idleUnit * f.WeightBuffer()}
+}
+
 // NewThreshold returns the policy with marks of utilization, each a fraction of a pool's slots.
 func NewThreshold(high, low float64) Threshold { return Threshold{high, low} }
 
@@ -54,7 +65,7 @@
 	case "threshold":
 		return NewThreshold(defaultHighMark, defaultLowMark)
 	default:
-		return NewJoint(Weights{Shortfall: f.WeightShare(), Move: f.WeightMoves(), Idle: f.WeightBuffer()}, f.MinimumStay())
+		return NewJoint(WeightsOf(f), f.MinimumStay())
 	}
 }
 
--- /dev/null
+++ b/core/sizing/policy_test.go
@@ -0,0 +1,83 @@
+package sizing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangowing/core/decl"
+	"mangowing/core/fleet"
+)
+
+func load(pool string, vms, movable, demand, peak int) fleet.PoolLoad {
+	return fleet.NewPoolLoad(fleet.PoolLoadSpec{
+		Pool: pool, VMs: vms, Movable: movable, Home: 10, VMSlots: 8, Demand: demand, RecentPeak: peak,
+	})
+}
+
+func texts(transfers []fleet.Transfer) []string {
+	out := []string{}
+	for _, t := range transfers {
+		out = append(out, fmt.Sprintf("%s to %s: %d", t.From(), t.To(), t.Count()))
+	}
+	return out
+}
+
+func TestDecide(t *testing.T) {
+	threshold := NewThreshold(0.85, 0.30)
+	joint := NewJoint(Weights{Shortfall: 1, Move: 100, Idle: 0.05}, 2*time.Minute)
+	scenarios := []struct {
+		testName string
+		policy   Policy
+		loads    []fleet.PoolLoad
+		expected []string
+	}{
+		{"static: nothing to do", Static{}, []fleet.PoolLoad{load("pour", 10, 10, 200, 200), load("spare", 10, 10, 0, 0)}, []string{}},
+		{"static: VMs go home", Static{}, []fleet.PoolLoad{load("pour", 12, 6, 0, 0), load("spare", 8, 8, 0, 0)}, []string{"pour to spare: 2"}},
+		{"threshold: below the high mark", threshold, []fleet.PoolLoad{load("pour", 10, 10, 68, 68), load("spare", 10, 10, 0, 0)}, []string{}},
+		{"threshold: the spare pool lends", threshold, []fleet.PoolLoad{load("plan", 10, 10, 0, 0), load("pour", 10, 10, 80, 80), load("spare", 10, 10, 0, 0)}, []string{"spare to pour: 2"}},
+		{"threshold: a busy spare pool does not", threshold, []fleet.PoolLoad{load("plan", 10, 10, 0, 0), load("pour", 10, 10, 80, 80), load("spare", 10, 10, 70, 70)}, []string{"plan to pour: 2", "plan to spare: 1"}},
+		{"threshold: between the marks", threshold, []fleet.PoolLoad{load("pour", 12, 12, 40, 80), load("spare", 8, 8, 0, 0)}, []string{}},
+		{"threshold: below the low mark", threshold, []fleet.PoolLoad{load("pour", 12, 12, 8, 80), load("spare", 8, 8, 0, 0)}, []string{"pour to spare: 2"}},
+		{"joint: straight from the last peak to the next", joint, []fleet.PoolLoad{load("plan", 14, 14, 1, 100), load("pour", 9, 9, 100, 100), load("spare", 9, 9, 1, 100)}, []string{"plan to pour: 4"}},
+		{"joint: the largest idle pool gives first", joint, []fleet.PoolLoad{load("plan", 9, 9, 1, 100), load("pour", 10, 10, 96, 96), load("press", 12, 12, 1, 100)}, []string{"press to pour: 2"}},
+		{"joint: nobody needs the idle VMs", joint, []fleet.PoolLoad{load("plan", 14, 14, 1, 100), load("pour", 9, 9, 1, 100), load("spare", 9, 9, 1, 100)}, []string{}},
+		{"joint: a move dearer than the shortfall", NewJoint(Weights{Shortfall: 1, Move: 2000}, 2*time.Minute), []fleet.PoolLoad{load("plan", 14, 14, 1, 100), load("pour", 9, 9, 82, 100)}, []string{}},
+		{"joint: nothing may move", joint, []fleet.PoolLoad{load("plan", 14, 0, 1, 100), load("pour", 9, 0, 100, 100)}, []string{}},
+		{"joint: idle VMs dearer than moves go to the spare pool", NewJoint(Weights{Shortfall: 1, Move: 1, Idle: 1}, 2*time.Minute), []fleet.PoolLoad{load("plan", 10, 2, 1, 1), load("spare", 10, 10, 1, 1)}, []string{"plan to spare: 2"}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			assert.DeepEqual(t, texts(Decide(s.policy, s.loads, "spare")), s.expected)
+		})
+	}
+}
+
+func TestForecastForgetsPeaks(t *testing.T) {
+	var f Forecast
+	start := time.Unix(0, 0)
+	peakAfter := func(d time.Duration, slots int) int {
+		f.Observe(start.Add(d), []fleet.PoolDemand{fleet.NewPoolDemand("pour", slots, 0)})
+		return f.Apply([]fleet.PoolLoad{load("pour", 10, 10, 0, 0), load("unknown", 1, 1, 0, 0)})[0].RecentPeak()
+	}
+	assert.Equal(t, peakAfter(0, 90), 90)
+	assert.Equal(t, peakAfter(peakHeld, 5), 90)
+	assert.Equal(t, peakAfter(2*peakHeld, 6), 6)
+	assert.Equal(t, peakAfter(9*peakHeld, 1), 1)
+	assert.Equal(t, len(f.Apply([]fleet.PoolLoad{load("unknown", 1, 1, 0, 0)})), 0)
+}
+
+func TestPolicyByDeclaration(t *testing.T) {
+	fleetOf := func(sizing string) decl.Fleet {
+		objects, err := decl.ReadINI([]byte("[fleet vlnka]\ndata-centres = a\nweight-share = 8\nsizing = " + sizing))
+		assert.NilError(t, err)
+		cfg, faults := decl.Compile(objects)
+		assert.Equal(t, len(faults), 0)
+		return cfg.Fleet()
+	}
+	assert.Equal(t, ForFleet(fleetOf("static")), Static{})
+	assert.Equal(t, ForFleet(fleetOf("threshold")), NewThreshold(0.85, 0.30))
+	assert.Equal(t, ForFleet(fleetOf("joint")), NewJoint(Weights{Shortfall: 8, Move: 100, Idle: 0.05}, 2*time.Minute))
+}
--- /dev/null
+++ b/core/sizing/trial/user.go
@@ -0,0 +1,57 @@
+package trial
+
+import (
+	"fmt"
+	"strconv"
+
+	"mangowing/core/record"
+)
+
+// user is a deployment of the sizes of today: five pools over three data centres, the last pool is the spare.
+type user struct {
+	name    string
+	seed    uint64
+	pools   []string
+	weights weights
+}
+
+// weights are the prices that the user declares.
+type weights struct {
+	share  string
+	moves  string
+	buffer string
+}
+
+// equalShortfall weighs shortfall so that the joint policy leaves no more of it than thresholds do.
+var equalShortfall = weights{"8", "1", "1"}
+
+func (u user) weighed(w weights) user {
+	u.weights = w
+	return u
+}
+
+func userOf(name string) user {
+	if name == "hessian" {
+		return user{name, 2, []string{"sort", "price", "match", "freight", "admin"}, weights{"2", "8", "1"}}
+	}
+	return user{name, 1, []string{"quote", "pour", "plan", "reprint", "office"}, weights{"8", "1", "1"}}
+}
+
+func (u user) spare() string { return u.pools[len(u.pools)-1] }
+
+func vmName(pool string, i int) string { return fmt.Sprintf("%s-%02d", pool, i+1) }
+
+// objects returns the user's declaration with the given number of VMs in each pool.
+func (u user) objects(o option) []record.Object {
+	out := []record.Object{
+		record.NewObject("fleet", u.name, 0).With("data-centres", "a, b, c").With("spare-pool", u.spare()).
+			With("weight-share", u.weights.share).With("weight-moves", u.weights.moves).With("weight-buffer", u.weights.buffer),
+		record.NewObject("wave", "pass", 0).With("min-serving", strconv.Itoa(o.waveMinimum)).
+			With("pace", strconv.Itoa(o.pace)).With("abort-faults", strconv.Itoa(vmsOfRack)),
+	}
+	for _, pool := range u.pools {
+		vms := fmt.Sprintf("%s-[01-%02d]", pool, o.vms)
+		out = append(out, record.NewObject("pool", pool, 0).With("vms", vms).With("min-serving", strconv.Itoa(o.minServing)))
+	}
+	return out
+}
