Index the fleet only when it changed

The planner built its index anew after every record of any kind. The fold now tells by which revision configuration, a VM or a wave changed last.

--- a/core/fleet/index.go
+++ b/core/fleet/index.go
@@ -45,6 +45,12 @@
 	return x
 }
 
+// place is a VM's name with its failure domain, for sorting.
+type place struct {
+	domain string
+	name   string
+}
+
 // names returns every VM that is listed or had a step, failure domain by failure domain.
 func (x *Index) names() []string {
 	names := x.state.VMNames()
@@ -54,9 +60,16 @@
 			names = append(names, name)
 		}
 	}
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(x.rows[a].domain(), x.rows[b].domain()), cmp.Compare(a, b))
+	places := make([]place, 0, len(names))
+	for _, name := range names {
+		places = append(places, place{x.rows[name].domain(), name})
+	}
+	slices.SortFunc(places, func(a, b place) int {
+		return cmp.Or(cmp.Compare(a.domain, b.domain), cmp.Compare(a.name, b.name))
 	})
+	for i, p := range places {
+		names[i] = p.name
+	}
 	return names
 }
 
--- a/core/fleet/row.go
+++ b/core/fleet/row.go
@@ -9,7 +9,8 @@
 
 // VMRow is one VM as the platform's lagging VM list shows it.
 type VMRow struct {
-	spec VMRowSpec
+	spec    VMRowSpec
+	rackKey string
 }
 
 // VMRowSpec names the fields of a VMRow for NewVMRow.
@@ -24,7 +25,7 @@
 }
 
 // NewVMRow returns the row described by the specification.
-func NewVMRow(s VMRowSpec) VMRow { return VMRow{s} }
+func NewVMRow(s VMRowSpec) VMRow { return VMRow{s, s.DataCentre + "/" + s.Rack} }
 
 // Name returns the VM's name.
 func (r VMRow) Name() string { return r.spec.Name }
@@ -54,4 +55,4 @@
 }
 
 // domain returns the failure domain: the rack within its data centre.
-func (r VMRow) domain() string { return r.spec.DataCentre + "/" + r.spec.Rack }
+func (r VMRow) domain() string { return r.rackKey }
--- a/core/fold/folder.go
+++ b/core/fold/folder.go
@@ -235,6 +235,7 @@
 		return refuse(codes.BudgetSpent, "pool "+s.Pool+" is at its minimum of serving VMs")
 	}
 	f.state.vms.set(s.VM, VM{nextVM(current.w, s, f.state.seq, r.AtMs())})
+	f.state.fleetSeq = f.state.seq
 	return Verdict{}
 }
 
@@ -287,6 +288,7 @@
 		next.Run, next.StartedMs = f.state.seq, r.AtMs()
 	}
 	f.state.waves.set(s.Wave(), Wave{next})
+	f.state.fleetSeq = f.state.seq
 	return Verdict{}
 }
 
@@ -388,6 +390,7 @@
 		}
 	}
 	f.state.config = cfg
+	f.state.fleetSeq = f.state.seq
 	f.splitLimits(cfg)
 }
 
--- a/core/fold/property_test.go
+++ b/core/fold/property_test.go
@@ -260,3 +260,13 @@
 		assert.Assert(t, !first && second)
 	}
 }
+
+func TestFleetRevisionFollowsEveryChangeOfTheFleet(t *testing.T) {
+	walk(t, walkEntries, 1, func(rt *rapid.T, before, after *State) {
+		changed := before.Config() != after.Config() || before.Wave("autumn") != after.Wave("autumn")
+		for _, name := range after.VMNames() {
+			changed = changed || before.VM(name) != after.VM(name)
+		}
+		assert.Equal(rt, before.FleetRevision() != after.FleetRevision(), changed)
+	})
+}
--- a/core/fold/snapshot_helper.go
+++ b/core/fold/snapshot_helper.go
@@ -23,6 +23,7 @@
 	Jobs      map[string]jobWire      `json:"jobs"`
 	Allots    map[string]allotState   `json:"allotments"`
 	Lease     leaseWire               `json:"lease"`
+	FleetSeq  uint64                  `json:"fleet-seq"`
 	History   []historyWire           `json:"history"`
 	Recent    []recentWire            `json:"recent"`
 	JobRing   []string                `json:"job-order"`
@@ -45,7 +46,7 @@
 		Claims:  unwrap(s.claims.toMap(), func(c Claim) claimWire { return c.w }),
 		Jobs:    unwrap(s.jobs.toMap(), func(j Job) jobWire { return j.w }),
 		Allots:  s.allots.toMap(),
-		Lease:   s.lease.w,
+		Lease:   s.lease.w, FleetSeq: s.fleetSeq,
 		JobRing: f.jobRing,
 	}
 	for _, h := range s.history {
@@ -79,7 +80,7 @@
 	s := &f.state
 	s.offset, s.seq, s.digest, s.malformed = w.Offset, w.Seq, w.Digest, w.Malformed
 	s.config = cfg
-	s.lease = Lease{w.Lease}
+	s.lease, s.fleetSeq = Lease{w.Lease}, w.FleetSeq
 	s.objects.fromMap(w.Objects)
 	s.keys.fromMap(unwrap(w.Keys, func(k keyWire) Key { return Key{k} }))
 	s.vms.fromMap(unwrap(w.VMs, func(v vmWire) VM { return VM{v} }))
--- a/core/fold/state.go
+++ b/core/fold/state.go
@@ -247,6 +247,7 @@
 	jobs      table[Job]
 	allots    table[allotState]
 	lease     Lease
+	fleetSeq  uint64
 	history   []HistoryEntry
 	malformed uint64
 	digest    uint64
@@ -258,6 +259,9 @@
 // Revision returns the number of records folded.
 func (s *State) Revision() uint64 { return s.seq }
 
+// FleetRevision returns the revision of the last record that changed configuration, a VM or a wave.
+func (s *State) FleetRevision() uint64 { return s.fleetSeq }
+
 // Digest returns a hash over all records folded, equal on every gate at the same offset.
 func (s *State) Digest() uint64 { return s.digest }
 
--- a/gate/daemon/planner/service.go
+++ b/gate/daemon/planner/service.go
@@ -167,7 +167,7 @@
 func (s *Service) currentIndex() *fleet.Index {
 	state, rows := s.deps.State.State(), s.deps.Fleet.VMRows()
 	sameRows := len(rows) == len(s.indexed) && (len(rows) == 0 || &rows[0] == &s.indexed[0])
-	if s.index == nil || !sameRows || s.index.State().Revision() != state.Revision() {
+	if s.index == nil || !sameRows || s.index.State().FleetRevision() != state.FleetRevision() {
 		s.index, s.indexed = fleet.NewIndex(state, rows), rows
 	}
 	return s.index
