--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -87,6 +87,10 @@
 start_all() {
 	local n
 	start stand "$BIN/stand" serve --settings "$RUN/stand.ini"
+	until (exec 3<>"/dev/tcp/127.0.0.1/$PORT") 2>/dev/null; do
+		kill -0 "${PIDS[stand]}" 2>/dev/null || { cat "$RUN/stand.log" >&2; return 1; }
+		sleep 0.05
+	done
 	for n in $(seq $GATES); do start_gate "$n"; done
 }
 
