Run all proofs with one command

Cause: the promises' proofs were spread over packages. scripts/proofs lists them; make prove prints one line each.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 MODULES := core gate mango stand
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 BIN := build
+DEPLOYMENT ?= vlnka
 
 .PHONY: help build test race vet format lint generate check-generated demo bench prove policy capacity clean
 
@@ -45,5 +46,17 @@
 policy: ## print what each policy achieves over the recorded demand trace, a table a question
 	go run ./core/replay/cmd
 
+demo: build ## run a deployment's demo: make demo DEPLOYMENT=vlnka or hessian
+	scripts/demo $(DEPLOYMENT)
+
+bench: build ## compare gates with a direct client of the same workers
+	scripts/bench
+
+prove: ## run every promise's proofs, one line each
+	scripts/prove
+
+capacity: build ## measure what control costs a gate at several sizes
+	scripts/capacity
+
 clean: ## remove build output
 	rm -rf $(BIN)
