--- a/mango/gates/client_test.go
+++ b/mango/gates/client_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -44,11 +45,11 @@
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
-			calls := 0
+			var calls atomic.Int64
 			spec := Spec{}
 			for _, handler := range s.gates {
 				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-					calls++
+					calls.Add(1)
 					handler(w, r)
 				}))
 				defer server.Close()
@@ -56,7 +57,7 @@
 			}
 			var r Result
 			err := New(spec).Do(context.Background(), Call{Method: http.MethodPost, Path: "/x", Once: s.once}, &r)
-			assert.Equal(t, calls, s.calls)
+			assert.Equal(t, int(calls.Load()), s.calls)
 			if s.expected == "" {
 				assert.NilError(t, err)
 				return
