Keep claims by age and refuse new ones rather than forget early

Cause: the fold kept the last 20,000 claims, so a repeat of an idempotency key ran again once 20,000 others had come, which 100 a second do in 200 s. Now a claim is kept for 24 h by the log's own clock, which every record moves by at most 10 min. Where 200,000 are kept, the oldest may go only after 30 min; else the new claim is refused as not run with 213 claims-full. Ruled out: 24 h for any rate (8.6 million claims at 100/s do not fit a gate's 64 MB); the former table, which copies a 64th of all claims for each publication. A repeat after the time stated in docs/API.md may run again. A claim that falls out while its request still runs needs a run beyond 30 min and a full table.

--- a/core/codes/code.go
+++ b/core/codes/code.go
@@ -35,6 +35,7 @@
 	CallerLeft         Code = 210
 	DispatcherLost     Code = 211
 	UpstreamUnreached  Code = 212
+	ClaimsFull         Code = 213
 	UpstreamBroke      Code = 300
 	UpstreamTimeout    Code = 301
 	HolderGone         Code = 302
@@ -111,6 +112,7 @@
 	{CallerLeft, "caller-left", statusClientClosed, NotRun, "nothing", "nothing"},
 	{DispatcherLost, "dispatcher-lost", http.StatusServiceUnavailable, NotRun, "retry at once through the balancer", "a gate was replaced or cut: mango status"},
 	{UpstreamUnreached, "upstream-unreached", http.StatusServiceUnavailable, NotRun, "retry later with backoff", "check the pool's serving VMs: mango pool"},
+	{ClaimsFull, "claims-full", http.StatusServiceUnavailable, NotRun, "take a ticket and send the request with it", "more idempotency keys come than the log's claims can hold: let callers use tickets"},
 	{UpstreamBroke, "upstream-broke", http.StatusBadGateway, Unknown, "ask for the outcome; repeat only idempotent work", "look at the worker named in the timeline"},
 	{UpstreamTimeout, "upstream-timeout", http.StatusGatewayTimeout, Unknown, "ask for the outcome; repeat only idempotent work", "compare the team's time-out with its run times"},
 	{HolderGone, "holder-gone", http.StatusGone, Unknown, "ask for the outcome; repeat only idempotent work", "a gate was lost with its tickets; nothing to do"},
--- a/core/fold/folder.go
+++ b/core/fold/folder.go
@@ -19,7 +19,6 @@
 
 const (
 	recentIDs   = 8192
-	claimsKept  = 20_000
 	historyKept = 200
 	maxLease    = time.Hour
 	jobsKept    = 50_000
@@ -33,6 +32,11 @@
 	faults []string
 }
 
+// NewVerdict returns the verdict on the record with the id.
+func NewVerdict(id string, code codes.Code, detail string) Verdict {
+	return Verdict{id: id, code: code, detail: detail}
+}
+
 // ID returns the record's id.
 func (v Verdict) ID() string { return v.id }
 
@@ -50,7 +54,7 @@
 	state      State
 	recent     map[string]codes.Code
 	recentRing []string
-	claimRing  []string
+	claimant   claimant
 	jobRing    []string
 }
 
@@ -69,7 +73,6 @@
 	s.keys = f.state.keys.publish()
 	s.vms = f.state.vms.publish()
 	s.waves = f.state.waves.publish()
-	s.claims = f.state.claims.publish()
 	s.jobs = f.state.jobs.publish()
 	s.allots = f.state.allots.publish()
 	return &s
@@ -123,6 +126,7 @@
 		return Verdict{id: r.ID(), code: code, detail: "repeat"}
 	}
 	f.state.seq++
+	f.advance(r.AtMs())
 	v := f.applyBody(r)
 	if v.code == codes.RecordMalformed {
 		f.state.malformed++
@@ -154,7 +158,7 @@
 	case record.VMStep:
 		return f.applyVMStep(r, body.Spec())
 	case record.Claim:
-		return f.applyClaim(body)
+		return f.applyClaim(r, body)
 	case record.WaveStep:
 		return f.applyWaveStep(r, body)
 	case record.JobStep:
@@ -254,20 +258,6 @@
 	return next
 }
 
-func (f *Folder) applyClaim(c record.Claim) Verdict {
-	key := claimKey(c.Team(), c.Key())
-	if _, ok := f.state.claims.get(key); ok {
-		return refuse(codes.AlreadyClaimed, "another claim came first")
-	}
-	f.state.claims.set(key, Claim{claimWire{c.Holder(), c.Digest(), f.state.seq}})
-	f.claimRing = append(f.claimRing, key)
-	if len(f.claimRing) > claimsKept {
-		f.state.claims.remove(f.claimRing[0])
-		f.claimRing = f.claimRing[1:]
-	}
-	return Verdict{}
-}
-
 func (f *Folder) applyWaveStep(r record.Record, s record.WaveStep) Verdict {
 	if f.fenced(s.Token()) {
 		return refuse(codes.FencedOff, "the planner's lease passed on")
--- a/core/fold/snapshot_helper.go
+++ b/core/fold/snapshot_helper.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"slices"
 
 	"github.com/rotisserie/eris"
 
@@ -19,7 +18,8 @@
 	Keys      map[string]keyWire      `json:"keys"`
 	VMs       map[string]vmWire       `json:"vms"`
 	Waves     map[string]waveWire     `json:"waves"`
-	Claims    map[string]claimWire    `json:"claims"`
+	ClockMs   int64                   `json:"clock-ms"`
+	Claims    claimsWire              `json:"claims"`
 	Jobs      map[string]jobWire      `json:"jobs"`
 	Allots    map[string]allotState   `json:"allotments"`
 	Lease     leaseWire               `json:"lease"`
@@ -43,7 +43,8 @@
 		Keys:    unwrap(s.keys.toMap(), func(k Key) keyWire { return k.w }),
 		VMs:     unwrap(s.vms.toMap(), func(v VM) vmWire { return v.w }),
 		Waves:   unwrap(s.waves.toMap(), func(v Wave) waveWire { return v.w }),
-		Claims:  unwrap(s.claims.toMap(), func(c Claim) claimWire { return c.w }),
+		ClockMs: s.clockMs,
+		Claims:  s.claims.pack(),
 		Jobs:    unwrap(s.jobs.toMap(), func(j Job) jobWire { return j.w }),
 		Allots:  s.allots.toMap(),
 		Lease:   s.lease.w, FleetSeq: s.fleetSeq,
@@ -76,6 +77,10 @@
 	if len(faults) > 0 {
 		return nil, eris.Errorf("state does not compile: %s", faults[0])
 	}
+	claims, err := w.Claims.unpack()
+	if err != nil {
+		return nil, err
+	}
 	f := NewFolder()
 	s := &f.state
 	s.offset, s.seq, s.digest, s.malformed = w.Offset, w.Seq, w.Digest, w.Malformed
@@ -85,7 +90,10 @@
 	s.keys.fromMap(unwrap(w.Keys, func(k keyWire) Key { return Key{k} }))
 	s.vms.fromMap(unwrap(w.VMs, func(v vmWire) VM { return VM{v} }))
 	s.waves.fromMap(unwrap(w.Waves, func(v waveWire) Wave { return Wave{v} }))
-	s.claims.fromMap(unwrap(w.Claims, func(c claimWire) Claim { return Claim{c} }))
+	s.clockMs = w.ClockMs
+	for _, e := range claims {
+		f.addClaim(e)
+	}
 	s.jobs.fromMap(unwrap(w.Jobs, func(j jobWire) Job { return Job{j} }))
 	s.allots.fromMap(w.Allots)
 	f.jobRing = w.JobRing
@@ -95,20 +103,5 @@
 	for _, r := range w.Recent {
 		f.remember(r.ID, codes.Code(r.Code))
 	}
-	f.claimRing = claimOrder(w.Claims)
 	return f, nil
 }
-
-func claimOrder(claims map[string]claimWire) []string {
-	order := make([]string, 0, len(claims))
-	for key := range claims {
-		order = append(order, key)
-	}
-	slices.SortFunc(order, func(a, b string) int {
-		if claims[a].Seq < claims[b].Seq {
-			return -1
-		}
-		return 1
-	})
-	return order
-}
--- a/core/fold/state.go
+++ b/core/fold/state.go
@@ -142,20 +142,14 @@
 
 // Claim is the first claim on an idempotency key.
 type Claim struct {
-	w claimWire
-}
-
-type claimWire struct {
-	Holder string `json:"holder"`
-	Digest string `json:"digest"`
-	Seq    uint64 `json:"seq"`
+	e claimEntry
 }
 
 // Holder returns the incarnation that may start the request.
-func (c Claim) Holder() string { return c.w.Holder }
+func (c Claim) Holder() string { return c.e.holder }
 
-// Digest returns the digest of the claimed request.
-func (c Claim) Digest() string { return c.w.Digest }
+// Covers tells whether the claim is for the request with the digest.
+func (c Claim) Covers(digest string) bool { return c.e.digest == sumOf(digest) }
 
 // Job is the agreed state of one job.
 type Job struct {
@@ -243,7 +237,8 @@
 	keys      table[Key]
 	vms       table[VM]
 	waves     table[Wave]
-	claims    table[Claim]
+	claims    claimTable
+	clockMs   int64
 	jobs      table[Job]
 	allots    table[allotState]
 	lease     Lease
@@ -332,7 +327,10 @@
 }
 
 // Claim returns the first claim on a team's idempotency key.
-func (s *State) Claim(team, key string) (Claim, bool) { return s.claims.get(claimKey(team, key)) }
+func (s *State) Claim(team, key string) (Claim, bool) {
+	e, ok := s.claims.get(claimKey(team, key))
+	return Claim{e}, ok
+}
 
 // Job returns the job with the given id.
 func (s *State) Job(id string) (Job, bool) { return s.jobs.get(id) }
@@ -392,4 +390,4 @@
 
 func objectKey(kind, name string) string { return kind + " " + name }
 
-func claimKey(team, key string) string { return team + "\x00" + key }
+func claimKey(team, key string) claimSum { return sumOf(team + "\x00" + key) }
--- a/gate/daemon/once/claim_controller.go
+++ b/gate/daemon/once/claim_controller.go
@@ -41,14 +41,17 @@
 	if !ok {
 		return ticket.Claimant{}
 	}
-	return ticket.NewClaimant(c.Holder(), c.Digest())
+	if !c.Covers(r.digest()) {
+		return ticket.NewClaimant(c.Holder(), "")
+	}
+	return ticket.NewClaimant(c.Holder(), r.digest())
 }
 
 // claim writes a claim record; only one that is read back as the first lets this gate start the request.
 func (s *Service) claim(ctx context.Context, r Request, sink relay.Sink) (Outcome, bool) {
-	first, ok := s.writeClaim(ctx, r)
-	if !ok {
-		return s.abandon(ctx, r), true
+	first, code := s.writeClaim(ctx, r)
+	if code != codes.OK {
+		return s.abandon(ctx, r, code), true
 	}
 	s.mu.Lock()
 	d := s.registry.Claimed(r.id(), r.digest(), first, time.Now())
@@ -60,44 +63,48 @@
 	return s.act(ctx, r, d, sink)
 }
 
-func (s *Service) writeClaim(ctx context.Context, r Request) (ticket.Claimant, bool) {
+// writeClaim returns the first claim on the key, or ClaimsFull or ClaimLogDown where there is none to be had.
+func (s *Service) writeClaim(ctx context.Context, r Request) (ticket.Claimant, codes.Code) {
 	self := s.deps.Process.Incarnation()
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	body := record.NewClaim(r.w.Team, r.w.Key, r.digest(), self)
 	verdicts, err := s.deps.Recorder.Append(ctx, []record.Record{record.New(self, s.deps.Process.NowMs(), body)})
-	if err != nil || len(verdicts) != 1 {
-		return ticket.Claimant{}, false
-	}
-	if verdicts[0].Code() == codes.OK {
-		return ticket.NewClaimant(self, r.digest()), true
+	switch {
+	case err != nil || len(verdicts) != 1:
+		return ticket.Claimant{}, codes.ClaimLogDown
+	case verdicts[0].Code() == codes.OK:
+		return ticket.NewClaimant(self, r.digest()), codes.OK
+	case verdicts[0].Code() == codes.ClaimsFull:
+		return ticket.Claimant{}, codes.ClaimsFull
+	default:
+		return s.awaitClaim(ctx, r)
 	}
-	return s.awaitClaim(ctx, r)
 }
 
 // awaitClaim waits for the state that has the other claim: verdicts come before the state is published.
-func (s *Service) awaitClaim(ctx context.Context, r Request) (ticket.Claimant, bool) {
+func (s *Service) awaitClaim(ctx context.Context, r Request) (ticket.Claimant, codes.Code) {
 	for {
 		if first := s.firstClaim(r); first != (ticket.Claimant{}) {
-			return first, true
+			return first, codes.OK
 		}
 		select {
 		case <-ctx.Done():
-			return ticket.Claimant{}, false
+			return ticket.Claimant{}, codes.ClaimLogDown
 		case <-time.After(foldPause):
 		}
 	}
 }
 
 // abandon gives the claim up. It may still come into force, but then only a later request starts under it. The request
-// is called not run only if no earlier one under the key can have run.
-func (s *Service) abandon(ctx context.Context, r Request) Outcome {
+// is called not run only if no earlier one under the key can have run; a log that refused the claim knew of none.
+func (s *Service) abandon(ctx context.Context, r Request, code codes.Code) Outcome {
 	s.mu.Lock()
 	s.registry.Abandon(r.id())
 	s.wake(r.id())
 	s.mu.Unlock()
-	if s.neverRan(ctx, r) {
-		return Outcome{code: codes.ClaimLogDown}
+	if code == codes.ClaimsFull || s.neverRan(ctx, r) {
+		return Outcome{code: code}
 	}
 	return Outcome{code: codes.HolderGone, detail: "the log is down, and an earlier request under the key may have run"}
 }
--- a/gate/daemon/once/service_test.go
+++ b/gate/daemon/once/service_test.go
@@ -86,6 +86,17 @@
 			c.setLog(logDown)
 			return c.sendAll(order)
 		}, []string{"claim-log-down not-run", "claim-log-down not-run", "claim-log-down not-run"}, 0},
+		{"no room for claims", func(c *cluster) []string {
+			c.setLog(logFull)
+			refused := []string{c.send(0, order), c.send(0, order)}
+			c.setLog(logUp)
+			return append(refused, c.send(1, order))
+		}, []string{"claims-full not-run", "claims-full not-run", "done: bonnet"}, 1},
+		{"no room for claims after the key ran", func(c *cluster) []string {
+			c.send(1, order)
+			c.setLog(logFull)
+			return c.sendAll(order)
+		}, []string{"done: bonnet", "done: bonnet", "done: bonnet"}, 1},
 		{"log down after the key ran", func(c *cluster) []string {
 			c.send(1, order)
 			c.setLog(logDown)
