Choose the data centre by the team's own waiting requests

Cause: a gate chose the dispatcher with the fewest waiting requests of all teams, so a team's requests gathered where another team waited less, and its share of the pool depended on where they sat.

Ruled out: unsaturated teams, since every request was answered and the pool stayed full.

--- a/gate/daemon/queue/dispatcher.go
+++ b/gate/daemon/queue/dispatcher.go
@@ -251,10 +251,10 @@
 	w.reply <- answer
 }
 
-// backlogMs estimates the wait from the requests that wait for each slot.
+// backlogMs estimates the wait from the requests of the team that wait for each slot.
 func (d *dispatcher) backlogMs(a askWire) int64 {
 	slots := max(d.slots, 1)
-	return int64(1+d.scheduler.Waiting()) * max(a.RunTimeMs, 1) / int64(slots)
+	return int64(1+d.scheduler.WaitingOf(a.Team)) * max(a.RunTimeMs, 1) / int64(slots)
 }
 
 func (d *dispatcher) cancel(request string) {
