Size pools by what runs, and leave silent data centres their VMs

Four faults seen when the planner was wired to the gates: - a pool without demand is left out of what the gates report: an idle pool could lend nothing, and one whose turn had ended kept its old demand; it now counts as idle; - waiting requests counted as slots also where they wait for their team's limit, and a backlog of short requests as so many VMs; they count only in a full pool, as at most half of what runs; - a data centre cut from the others folds drains that nobody acknowledges, and would have lost VM after VM; after 10 s without acknowledgement it gets no further drains. Ruled out: undoing such drains, since the next VMs follow them; - a VM back from a reboot stayed out while the gates still avoided it, and with no work sent they never stopped; the VM list alone now decides. Seen red: each of the four, by turning it off.

--- a/core/fleet/plan.go
+++ b/core/fleet/plan.go
@@ -36,6 +36,7 @@
 	minimum map[string]int
 	health  map[string]Health
 	acks    map[string]Ack
+	silent  map[string]bool // data centres that do not acknowledge drains
 	taken   map[string]bool
 	out     []outVM
 	actions []Action
@@ -56,6 +57,7 @@
 		minimum: map[string]int{},
 		health:  make(map[string]Health, len(v.Health)),
 		acks:    make(map[string]Ack, len(v.Acks)),
+		silent:  map[string]bool{},
 		taken:   map[string]bool{},
 	}
 	for _, a := range v.Acks {
@@ -67,6 +69,7 @@
 			p.serving[p.state.VM(h.vm).Pool()]--
 		}
 	}
+	p.noteSilence()
 	for _, w := range v.Index.waves {
 		for _, name := range w.out {
 			p.out = append(p.out, outVM{w.name, p.state.VM(name).Pool(), p.rows[name].domain()})
@@ -84,6 +87,11 @@
 	return p.rows[name].live() && !p.health[name].unreachable
 }
 
+// mayDrain tells whether the VM is healthy and its data centre takes part.
+func (p *plan) mayDrain(name string) bool {
+	return p.healthy(name) && !p.silent[p.rows[name].DataCentre()]
+}
+
 // dead tells whether two independent signals say that the VM is lost.
 func (p *plan) dead(name string) bool {
 	h, signs := p.health[name], 0
--- a/core/fleet/resize.go
+++ b/core/fleet/resize.go
@@ -35,6 +35,7 @@
 // PoolLoadSpec names the fields of a PoolLoad for NewPoolLoad.
 type PoolLoadSpec struct {
 	Pool       string // the pool's name
+	Serving    int    // VMs that serve it
 	VMs        int    // VMs that serve it or are on their way to it
 	Movable    int    // VMs that may leave it now
 	Home       int    // VMs that it declares
@@ -50,6 +51,9 @@
 // Pool returns the pool's name.
 func (l PoolLoad) Pool() string { return l.spec.Pool }
 
+// Serving returns how many VMs serve the pool.
+func (l PoolLoad) Serving() int { return l.spec.Serving }
+
 // VMs returns how many VMs serve the pool or are on their way to it.
 func (l PoolLoad) VMs() int { return l.spec.VMs }
 
@@ -81,6 +85,7 @@
 		spare := p.serving[name] - p.floor(name)
 		out = append(out, NewPoolLoad(PoolLoadSpec{
 			Pool: name, Home: len(pool.VMs()), VMSlots: p.vmSlots(name),
+			Serving:  p.serving[name],
 			VMs:      p.serving[name] + v.Index.incoming[name],
 			Movable:  max(0, min(spare, len(p.donors(name, "")))),
 			WavePace: p.wavePace(name),
@@ -144,7 +149,7 @@
 func (p *plan) mayMove(name string) bool {
 	vm := p.state.VM(name)
 	cfg := p.state.Config()
-	if p.taken[name] || vm.State() != fold.VMServing || !p.healthy(name) {
+	if p.taken[name] || vm.State() != fold.VMServing || !p.mayDrain(name) {
 		return false
 	}
 	if vm.Manual() && vm.Pool() != cfg.Home(name) {
@@ -170,7 +175,7 @@
 		}
 		for _, name := range p.Index.members[pool] {
 			home := cfg.Home(name)
-			if home != "" && !p.taken[name] && p.healthy(name) {
+			if home != "" && !p.taken[name] && p.mayDrain(name) {
 				p.drain(name, home, "")
 			}
 		}
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -5,6 +5,9 @@
 // DefaultRebootTimeout is how long a VM may take to come back before it counts as a fault.
 const DefaultRebootTimeout = 10 * time.Minute
 
+// A data centre that has not acknowledged a drain for this long gets no further ones.
+const drainAckTimeout = 10 * time.Second
+
 // View is everything that one plan is made from; Plan changes none of it.
 type View struct {
 	Index         *Index        // agreed state and VM list
@@ -60,7 +63,7 @@
 	waiting int
 }
 
-// NewPoolDemand returns a pool's demand in slots: requests running and requests waiting.
+// NewPoolDemand returns a pool's demand: the numbers of requests that run and that wait.
 func NewPoolDemand(pool string, running, waiting int) PoolDemand {
 	return PoolDemand{pool, running, waiting}
 }
@@ -68,7 +71,13 @@
 // Pool returns the pool's name.
 func (d PoolDemand) Pool() string { return d.pool }
 
-// Slots returns how many slots the pool would fill now.
+// Running returns how many requests run.
+func (d PoolDemand) Running() int { return d.running }
+
+// Waiting returns how many requests wait.
+func (d PoolDemand) Waiting() int { return d.waiting }
+
+// Slots returns how many slots would hold all of them.
 func (d PoolDemand) Slots() int { return d.running + d.waiting }
 
 // RequestIDs is a set of platform request ids; the zero value is empty.
--- a/core/fleet/vm_flow.go
+++ b/core/fleet/vm_flow.go
@@ -91,11 +91,25 @@
 }
 
 func (p *plan) drained(name string, vm fold.VM) bool {
-	a, known := p.acks[name]
-	if !known || a.revision != vm.Revision() || !a.all {
+	if !p.acknowledged(name, vm) {
 		return false
 	}
-	return a.running == 0 || p.health[name].leaseLapsed
+	return p.acks[name].running == 0 || p.health[name].leaseLapsed
+}
+
+func (p *plan) acknowledged(name string, vm fold.VM) bool {
+	a, known := p.acks[name]
+	return known && a.revision == vm.Revision() && a.all
+}
+
+// noteSilence finds the data centres that do not acknowledge drains, so that a cut one keeps its other VMs.
+func (p *plan) noteSilence() {
+	for _, name := range p.Index.Draining() {
+		vm := p.state.VM(name)
+		if !p.acknowledged(name, vm) && p.NowMs-vm.SinceMs() > drainAckTimeout.Milliseconds() {
+			p.silent[p.rows[name].DataCentre()] = true
+		}
+	}
 }
 
 func (p *plan) carryOnMove(name string, vm fold.VM) {
@@ -127,8 +141,9 @@
 	}
 }
 
+// restarted trusts the VM list alone: gates that send nothing to the VM can't tell that it answers again.
 func (p *plan) restarted(name string, vm fold.VM) bool {
-	return p.rows[name].Generation() > vm.Generation() && p.healthy(name)
+	return p.rows[name].Generation() > vm.Generation() && p.rows[name].live()
 }
 
 func (p *plan) carryOnQuarantine(name string, vm fold.VM) {
@@ -143,7 +158,7 @@
 
 // returnIfListed lets a VM serve its agreed pool again once the platform has it there too.
 func (p *plan) returnIfListed(name string, vm fold.VM) {
-	if !p.healthy(name) {
+	if !p.rows[name].live() {
 		return
 	}
 	if actual := p.rows[name].Pool(); actual != "" && actual != vm.Pool() && !p.reassigned(name, vm, vm.Pool()) {
--- a/core/fleet/wave_flow.go
+++ b/core/fleet/wave_flow.go
@@ -46,7 +46,7 @@
 
 func (p *plan) mayMaintain(wave, name string) bool {
 	vm := p.state.VM(name)
-	if p.taken[name] || vm.State() != fold.VMServing || !p.healthy(name) || !p.mayTake(vm.Pool()) {
+	if p.taken[name] || vm.State() != fold.VMServing || !p.mayDrain(name) || !p.mayTake(vm.Pool()) {
 		return false
 	}
 	for _, o := range p.out {
--- a/core/sizing/forecast.go
+++ b/core/sizing/forecast.go
@@ -6,16 +6,21 @@
 	"mangowing/core/fleet"
 )
 
-const peakHeld = 30 * time.Minute
+const (
+	peakHeld = 30 * time.Minute
+	// Requests wait for VMs only while at least this part of a pool's slots is in use.
+	saturated = 0.9
+	// A backlog counts as at most this part of what runs, since its length does not tell how long it takes.
+	backlogPart = 0.5
+)
 
 // Forecast knows the demand of each pool now and at its highest over the last half hour or hour; the zero value works.
 type Forecast struct {
 	pools map[string]*memory
 }
 
-// memory holds one pool's demand and the peaks of the running window and of the one before it, all in slots.
+// memory holds the peaks of one pool's demand in the running window and in the one before it, in slots.
 type memory struct {
-	demand   int
 	started  time.Time
 	previous int
 	current  int
@@ -29,31 +34,38 @@
 	case age >= peakHeld:
 		m.started, m.previous, m.current = now, m.current, 0
 	}
-	m.demand, m.current = slots, max(m.current, slots)
+	m.current = max(m.current, slots)
 }
 
-// Observe takes in the demand at a time.
-func (f *Forecast) Observe(now time.Time, demand []fleet.PoolDemand) {
+// Update takes in the demand at a time and returns the loads with it; a pool without demand is taken for idle.
+func (f *Forecast) Update(now time.Time, loads []fleet.PoolLoad, demand []fleet.PoolDemand) []fleet.PoolLoad {
 	if f.pools == nil {
 		f.pools = map[string]*memory{}
 	}
+	asked := make(map[string]fleet.PoolDemand, len(demand))
 	for _, d := range demand {
-		m, known := f.pools[d.Pool()]
+		asked[d.Pool()] = d
+	}
+	out := make([]fleet.PoolLoad, 0, len(loads))
+	for _, l := range loads {
+		m, known := f.pools[l.Pool()]
 		if !known {
 			m = &memory{}
-			f.pools[d.Pool()] = m
+			f.pools[l.Pool()] = m
 		}
-		m.observe(now, d.Slots())
+		slots := slotsAsked(l, asked[l.Pool()])
+		m.observe(now, slots)
+		out = append(out, l.WithDemand(slots, max(m.previous, m.current)))
 	}
+	return out
 }
 
-// Apply returns the loads with the demand filled in, only those of pools whose demand was observed.
-func (f *Forecast) Apply(loads []fleet.PoolLoad) []fleet.PoolLoad {
-	var out []fleet.PoolLoad
-	for _, l := range loads {
-		if m, known := f.pools[l.Pool()]; known {
-			out = append(out, l.WithDemand(m.demand, max(m.previous, m.current)))
-		}
+// slotsAsked counts waiting requests only in a full pool: in others they wait for their team's limit.
+func slotsAsked(l fleet.PoolLoad, d fleet.PoolDemand) int {
+	slots := l.Serving() * l.VMSlots()
+	if float64(d.Running()) < saturated*float64(slots) {
+		return d.Running()
 	}
-	return out
+	backlog := int(backlogPart * float64(max(d.Running(), l.VMSlots())))
+	return d.Running() + min(d.Waiting(), backlog)
 }
--- a/gate/daemon/planner/ack_collector.go
+++ b/gate/daemon/planner/ack_collector.go
@@ -8,9 +8,13 @@
 	"mangowing/core/fleet"
 )
 
-const ackTimeout = time.Second
+const (
+	ackTimeout = time.Second
+	// What runs on a VM that does not answer counts as not ended.
+	unknownRunning = 1
+)
 
-// collectAcks asks about all draining VMs at once; one without an answer is left out.
+// collectAcks asks about all draining VMs at once.
 func (s *Service) collectAcks(ctx context.Context, x *fleet.Index) []fleet.Ack {
 	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
 	defer cancel()
@@ -24,7 +28,7 @@
 		wg.Go(func() {
 			all, running, err := s.deps.Fleet.DrainAcks(ctx, vm, revision)
 			if err != nil {
-				return
+				running = unknownRunning
 			}
 			mu.Lock()
 			defer mu.Unlock()
--- a/gate/daemon/planner/service.go
+++ b/gate/daemon/planner/service.go
@@ -44,7 +44,7 @@
 	DrainAcks(ctx context.Context, vm string, revision uint64) (all bool, running int, err error)
 	// Health returns the VMs with a sign of failure.
 	Health() []fleet.Health
-	// Demand returns what each pool is asked for, empty if unknown.
+	// Demand returns what each pool is asked for, without the idle ones; empty if unknown.
 	Demand() []fleet.PoolDemand
 }
 
@@ -176,13 +176,15 @@
 // transfers asks the sizing policy, seldom enough that its last moves show in the state.
 func (s *Service) transfers(v fleet.View) []fleet.Transfer {
 	now := time.Now()
-	demand := s.deps.Fleet.Demand()
-	s.forecast.Observe(now, demand)
-	if len(demand) == 0 || now.Sub(s.sizedAt) < sizingPeriod {
+	if now.Sub(s.sizedAt) < sizingPeriod {
 		return nil
 	}
 	s.sizedAt = now
+	demand := s.deps.Fleet.Demand()
+	if len(demand) == 0 {
+		return nil
+	}
 	settings := v.Index.State().Config().Fleet()
-	loads := s.forecast.Apply(fleet.PoolLoads(v))
+	loads := s.forecast.Update(now, fleet.PoolLoads(v), demand)
 	return sizing.Decide(sizing.ForFleet(settings), loads, settings.SparePool())
 }
