Claim nothing about repeats that a gate refuses before it asked their holder

A gate without state now answers 205, and any refusal of a request with a ticket or key before its holder was asked carries the outcome unknown. Ruled out: asking the holder first even for bad keys. Table of five refusals, three red before. Also: the proofs' links no longer race.

--- a/gate/daemon/assemble.go
+++ b/gate/daemon/assemble.go
@@ -78,12 +78,14 @@
 	g.once = once.New(once.Deps{
 		Process: g.process, States: g.control, Recorder: g.control, Peers: g.network,
 		Gates: func() []once.Gate { return once.GatesOf(g.members.View()) }, AnswerBytes: settings.answersKeptBytes,
+		Report: workers.Outcome,
 		Run: func(ctx context.Context, r once.Request, sink relay.Sink) once.Outcome {
 			return g.callers.RunOnce(ctx, r, sink)
 		},
 	})
 	g.callers = caller.New(g.process, g.control, runner, g.once, g.ready, caller.Options{
 		Address: settings.callerAddress, MaxBodyBytes: settings.maxBodyBytes, Metrics: g.writeMetrics,
+		Synced: g.synced,
 	})
 	g.admin = admin.New(admin.Deps{
 		Process: g.process, Control: g.control, Members: g.members, Peers: g.network, Loads: g.queues, Rights: g.limits,
@@ -116,9 +118,14 @@
 	}
 }
 
+// synced tells whether the gate has the state that requests are judged by.
+func (g *gate) synced() bool {
+	return g.control.Synced() && g.vms.List().Len() > 0
+}
+
 // ready tells the balancer whether to send work.
 func (g *gate) ready() bool {
-	return g.control.Synced() && g.vms.List().Len() > 0 && !g.stopping.Load()
+	return g.synced() && !g.stopping.Load()
 }
 
 // run starts the supervisor tree and returns when the context ends.
--- a/gate/daemon/caller/once_controller.go
+++ b/gate/daemon/caller/once_controller.go
@@ -53,13 +53,14 @@
 	spec.Header = asked.Header
 	spec.Body = asked.Body
 	result := s.runner.Run(ctx, relay.NewRequest(spec), sink)
-	return once.NewOutcome(result.Code(), result.Detail(), result.Begun())
+	address, attempt := result.Attempt()
+	return once.NewOutcome(result.Code(), result.Detail(), result.Begun()).At(address, attempt)
 }
 
 // mint returns a ticket to a caller with a key.
 func (s *Server) mint(w http.ResponseWriter, r *http.Request) {
 	if _, err := s.teamOfKey(r.Header.Get("Authorization")); err != nil {
-		s.refuse(w, rand.Text(), "", err)
+		s.refuse(w, rand.Text(), "", err, false)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/gate/daemon/caller/request_controller.go
+++ b/gate/daemon/caller/request_controller.go
@@ -36,20 +36,28 @@
 	begun := time.Now()
 	id := rand.Text()
 	sink := &httpSink{w: w}
-	a, err := s.admit(r, mux.Vars(r)["queue"])
-	if err != nil {
-		s.refuse(w, id, "", err)
-		return
-	}
-	spec, err := s.spec(w, r, id, a)
+	a, spec, err := s.prepare(w, r, id)
 	if err != nil {
-		s.refuse(w, id, a.team.Name(), err)
+		s.refuse(w, id, a.team.Name(), err, keyed(r))
 		return
 	}
 	result := s.carryOut(r, spec, sink)
 	s.finish(sink, id, a, result, time.Since(begun))
 }
 
+// prepare checks all that can be checked before the request is carried out.
+func (s *Server) prepare(w http.ResponseWriter, r *http.Request, id string) (admitted, relay.RequestSpec, error) {
+	if !s.options.Synced() {
+		return admitted{}, relay.RequestSpec{}, codes.Errorf(codes.GateNotReady, "the gate has no state yet")
+	}
+	a, err := s.admit(r, mux.Vars(r)["queue"])
+	if err != nil {
+		return a, relay.RequestSpec{}, err
+	}
+	spec, err := s.spec(w, r, id, a)
+	return a, spec, err
+}
+
 func (s *Server) spec(w http.ResponseWriter, r *http.Request, id string, a admitted) (relay.RequestSpec, error) {
 	spec := specOf(id, a, time.Now())
 	spec.Header = relay.ForwardedHeaders(r.Header)
@@ -126,7 +134,9 @@
 	metrics.GetOrCreateHistogram(fmt.Sprintf(`mango_request_seconds{queue=%q}`, queue)).Update(took.Seconds())
 }
 
-func (s *Server) refuse(w http.ResponseWriter, id, team string, err error) {
+// refuse answers a request that was not carried out. One with a ticket or a key may have run in an earlier attempt, which
+// this gate did not ask about: its outcome is unknown.
+func (s *Server) refuse(w http.ResponseWriter, id, team string, err error, repeatable bool) {
 	code := codes.Of(err)
 	detail := ""
 	var coded *codes.Error
@@ -136,17 +146,25 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`mango_refused_total{code="%d"}`, uint16(code))).Inc()
 	s.process.Events().Add("refused", event.About{Request: id, Team: team, Code: uint16(code)})
 	klog.V(1).InfoS("request-refused", "request", id, "team", team, "code", uint16(code))
-	writeRefusal(w, id, code, detail)
+	outcome := code.Entry().Outcome()
+	if repeatable {
+		outcome = codes.Unknown
+	}
+	writeOutcome(w, id, code, outcome, detail)
 }
 
 func writeRefusal(w http.ResponseWriter, id string, code codes.Code, detail string) {
+	writeOutcome(w, id, code, code.Entry().Outcome(), detail)
+}
+
+func writeOutcome(w http.ResponseWriter, id string, code codes.Code, outcome codes.Outcome, detail string) {
 	e := code.Entry()
 	w.Header().Set(relay.HeaderRequestID, id)
-	w.Header().Set(relay.HeaderOutcome, e.Outcome().String())
+	w.Header().Set(relay.HeaderOutcome, outcome.String())
 	w.Header().Set(relay.HeaderCode, fmt.Sprint(uint16(code)))
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(e.Status())
-	_ = json.NewEncoder(w).Encode(refusalWire{uint16(code), e.Name(), e.Outcome().String(), detail})
+	_ = json.NewEncoder(w).Encode(refusalWire{uint16(code), e.Name(), outcome.String(), detail})
 }
 
 // httpSink writes an upstream's answer to the caller.
--- a/gate/daemon/caller/server.go
+++ b/gate/daemon/caller/server.go
@@ -40,6 +40,7 @@
 	Address      string            // IP number and port
 	MaxBodyBytes int               // largest request body
 	Metrics      func(w io.Writer) // writes all metrics of the process
+	Synced       func() bool       // tells whether the gate has the state that requests are judged by
 }
 
 // Server answers callers.
--- a/gate/daemon/caller/server_test.go
+++ b/gate/daemon/caller/server_test.go
@@ -95,15 +95,16 @@
 	return relay.NewResult(codes.OK, "", true)
 }
 
-func newServer(t *testing.T, runner Runner) *httptest.Server {
-	s := New(proc.New("gate-1"), newStates(t), runner, nil, func() bool { return true }, Options{MaxBodyBytes: maxBody})
+func newServer(t *testing.T, runner Runner, synced bool) *httptest.Server {
+	options := Options{MaxBodyBytes: maxBody, Synced: func() bool { return synced }}
+	s := New(proc.New("gate-1"), newStates(t), runner, nil, func() bool { return synced }, options)
 	server := httptest.NewServer(s.http.Handler)
 	t.Cleanup(server.Close)
 	return server
 }
 
 func TestCallersContract(t *testing.T) {
-	server := newServer(t, echo{})
+	server := newServer(t, echo{}, true)
 	scenarios := []struct {
 		testName string
 		queue    string
@@ -147,7 +148,7 @@
 }
 
 func TestAnswerThatBreaksIsCut(t *testing.T) {
-	server := newServer(t, echo{brokenAfterBegin: true})
+	server := newServer(t, echo{brokenAfterBegin: true}, true)
 	req, err := http.NewRequest(http.MethodPost, server.URL+"/v1/queues/quotes/requests", http.NoBody)
 	assert.NilError(t, err)
 	req.Header.Set("Authorization", "Bearer buyers-key")
@@ -159,6 +160,40 @@
 	assert.Assert(t, err != nil, "a broken answer ended cleanly")
 }
 
+// A refusal claims not-run only where no earlier attempt under the same ticket or key can have run.
+func TestRefusalsOfRepeatsClaimNothing(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		header   string
+		queue    string
+		synced   bool
+		outcome  string
+		code     string
+	}{
+		{"gate without state", "", "quotes", false, "not-run", "205"},
+		{"gate without state, ticket", headerTicket, "quotes", false, "unknown", "205"},
+		{"gate without state, key", headerIdempotencyKey, "quotes", false, "unknown", "205"},
+		{"unknown queue, ticket", headerTicket, "nothing", true, "unknown", "105"},
+		{"unknown queue", "", "nothing", true, "not-run", "105"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			server := newServer(t, echo{}, s.synced)
+			req, err := http.NewRequest(http.MethodPost, server.URL+"/v1/queues/"+s.queue+"/requests", http.NoBody)
+			assert.NilError(t, err)
+			req.Header.Set("Authorization", "Bearer buyers-key")
+			if s.header != "" {
+				req.Header.Set(s.header, "x")
+			}
+			resp, err := server.Client().Do(req)
+			assert.NilError(t, err)
+			_ = resp.Body.Close()
+			assert.Equal(t, resp.Header.Get(relay.HeaderOutcome), s.outcome)
+			assert.Equal(t, resp.Header.Get(relay.HeaderCode), s.code)
+		})
+	}
+}
+
 func TestLatestFinish(t *testing.T) {
 	day := time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
 	team, _ := newStates(t).state.Config().Team("sellers")
--- a/stand/prove/driver_test.go
+++ b/stand/prove/driver_test.go
@@ -15,6 +15,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -369,6 +370,7 @@
 
 // link forwards a gate's connections to another data centre or to the platform; a cut one stays silent.
 type link struct {
+	mu       sync.Mutex
 	gate     string
 	from, to string
 	listener net.Listener
@@ -393,10 +395,17 @@
 		if err != nil {
 			return
 		}
-		go k.forward(conn, k.cut, k.healed)
+		cut, healed := k.state()
+		go k.forward(conn, cut, healed)
 	}
 }
 
+func (k *link) state() (cut, healed chan struct{}) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.cut, k.healed
+}
+
 func (k *link) forward(conn net.Conn, cut, healed chan struct{}) {
 	defer func() { _ = conn.Close() }()
 	select {
@@ -417,7 +426,8 @@
 			n, err := src.Read(buffer)
 			select {
 			case <-cut:
-				<-k.healed
+				_, healed := k.state()
+				<-healed
 				ended <- struct{}{}
 				return
 			default:
@@ -436,11 +446,15 @@
 func (k *link) close() { _ = k.listener.Close() }
 
 func (k *link) sever() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	k.healed = make(chan struct{})
 	close(k.cut)
 }
 
 func (k *link) mend() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	k.cut = make(chan struct{})
 	close(k.healed)
 }
