Ask the worker that had the last attempt about an unknown outcome

Cause: the relay's result did not say where its last attempt went, so nobody could ask the worker and an outcome that became unknown stayed so although the worker knew. Ruled out: asking by the request's id (the worker knows only the grant's). With the ticket's holder gone nobody knows the attempt, and the outcome stays unknown. Tried on real processes through two gates: an answer cut short, one that is late, and work that goes on after the time-out; each outcome is unknown first, then ran, and the work starts once. Seen red: with the report left out of the assembly, "not within 5s: gate-1 knows that it ran".

--- a/gate/daemon/relay/runner.go
+++ b/gate/daemon/relay/runner.go
@@ -29,9 +29,18 @@
 	code   codes.Code
 	detail string
 	vm     string
+	place  place
 	begun  bool
 }
 
+// place is where an attempt went: the VM's address and the id under which its worker got it.
+type place struct {
+	address string
+	attempt string
+}
+
+func placeOf(g queue.Grant) place { return place{g.Address(), g.Request()} }
+
 // NewResult returns what became of a request; begun tells whether the sink got the beginning of an answer.
 func NewResult(code codes.Code, detail string, begun bool) Result {
 	return Result{code: code, detail: detail, begun: begun}
@@ -49,6 +58,9 @@
 // VM returns the VM of the last attempt, empty for none.
 func (r Result) VM() string { return r.vm }
 
+// Attempt returns the address of the last attempt's VM and the id under which its worker knows it, empty for none.
+func (r Result) Attempt() (address, id string) { return r.place.address, r.place.attempt }
+
 // Begun tells whether the sink got the beginning of an answer.
 func (r Result) Begun() bool { return r.begun }
 
@@ -121,7 +133,7 @@
 	}
 	if answer.status >= serverErrorMin && answer.whole && n.mayRepeat(r) {
 		n.release(a, queue.ResultFailed)
-		return Result{code: codes.UpstreamBroke, detail: "the upstream failed", vm: grant.VM()}, true
+		return Result{code: codes.UpstreamBroke, detail: "the upstream failed", vm: grant.VM(), place: placeOf(grant)}, true
 	}
 	return n.pass(a, answer, sink), false
 }
@@ -147,7 +159,7 @@
 func (n *Runner) failed(a attempt, err error) (Result, bool) {
 	code := codes.Of(err)
 	n.event("attempt-failed", a, code)
-	result := Result{code: code, vm: a.grant.VM()}
+	result := Result{code: code, vm: a.grant.VM(), place: placeOf(a.grant)}
 	switch code {
 	case codes.UpstreamUnreached:
 		n.release(a, queue.ResultUnreached)
@@ -168,7 +180,7 @@
 
 // pass hands the answer to the sink. The work's end is known once the upstream's last byte arrived.
 func (n *Runner) pass(a attempt, answer *reply, sink Sink) Result {
-	result := Result{code: codes.OK, vm: a.grant.VM(), begun: true}
+	result := Result{code: codes.OK, vm: a.grant.VM(), place: placeOf(a.grant), begun: true}
 	sink.Begin(answer.status, answer.header, a.request.ID())
 	_, sinkErr := sink.Write(answer.held)
 	if !answer.whole {
--- a/stand/prove/caller_test.go
+++ b/stand/prove/caller_test.go
@@ -25,12 +25,13 @@
 
 // task is one piece of work that a caller hands in.
 type task struct {
-	queue  string
-	key    string
-	work   string
-	runMs  int
-	ticket string
-	idem   string
+	queue   string
+	key     string
+	work    string
+	runMs   int
+	ticket  string
+	idem    string
+	timeout string
 }
 
 // send hands the task to one gate.
@@ -48,6 +49,9 @@
 	if c.idem != "" {
 		req.Header.Set("Idempotency-Key", c.idem)
 	}
+	if c.timeout != "" {
+		req.Header.Set("Mango-Timeout", c.timeout)
+	}
 	resp, err := g.fleet.client.Do(req)
 	if err != nil {
 		return reply{work: c.work, err: err}
