--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -4,8 +4,8 @@
 declare -A PIDS=()
 
 caller_address() { echo "127.0.0.1:$((PORT + 100 + $1))"; }
-operator_address() { echo "127.0.0.1:$((PORT + 120 + $1))"; }
-peer_address() { echo "127.0.0.1:$((PORT + 140 + $1))"; }
+operator_address() { echo "127.0.0.1:$((PORT + 200 + $1))"; }
+peer_address() { echo "127.0.0.1:$((PORT + 300 + $1))"; }
 data_centre() { echo "${DATA_CENTRES[$((($1 - 1) % ${#DATA_CENTRES[@]}))]}"; }
 
 # all_gates FUNCTION: the addresses that the function gives for each gate, with commas.
@@ -22,7 +22,7 @@
 		[deployment]
 		directory = $DECLARATIONS
 		[workers]
-		first-port = $((PORT + 200))
+		first-port = $((PORT + 400))
 		cores = $CORES
 		memory-gb = $MEMORY_GB
 	END
