Carry the logical clock in every call between gates

Only heartbeats carried the hybrid logical clock's stamp, so a grant at one gate could sort after the start that it caused at another when their clocks differed. Each request and answer now carries the sender's stamp in jsonrpc2's meta, set and observed by the connection's send and receive hooks; the messages themselves stay as they are, and the heartbeat's own field is gone.

--- a/core/event/clock.go
+++ b/core/event/clock.go
@@ -13,6 +13,9 @@
 // Stamp is a hybrid logical time: Unix milliseconds above 16 bits of counter.
 type Stamp uint64
 
+// StampAt returns the first stamp of a wall-clock time.
+func StampAt(t time.Time) Stamp { return Stamp(t.UnixMilli()) << counterBits }
+
 // Time returns the stamp's wall-clock part.
 func (s Stamp) Time() time.Time { return time.UnixMilli(int64(s >> counterBits)) }
 
@@ -26,7 +29,7 @@
 func (c *Clock) Now() Stamp {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	wall := Stamp(time.Now().UnixMilli()) << counterBits
+	wall := StampAt(time.Now())
 	if wall > c.last {
 		c.last = wall
 	} else {
--- a/gate/daemon/assemble.go
+++ b/gate/daemon/assemble.go
@@ -51,7 +51,7 @@
 		return nil, err
 	}
 	g := &gate{settings: settings, process: proc.New(settings.name)}
-	g.network = peers.NewNetwork(settings.peerAddress, tlsConfig)
+	g.network = peers.NewNetwork(settings.peerAddress, tlsConfig, g.process.Clock())
 	platform := plat.NewClient(settings.platform)
 	g.control = state.New(g.process, platform, g.network, state.Options{
 		AppendGroup: settings.appendGroup, SnapshotEvery: settings.snapshotEvery, SnapshotAge: settings.snapshotAge,
--- a/gate/daemon/peers/heartbeat.go
+++ b/gate/daemon/peers/heartbeat.go
@@ -10,7 +10,6 @@
 
 	"k8s.io/klog/v2"
 
-	"mangowing/core/event"
 	"mangowing/core/proc"
 )
 
@@ -32,15 +31,14 @@
 }
 
 type beatWire struct {
-	Name        string      `json:"name"`
-	Incarnation string      `json:"incarnation"`
-	Offset      uint64      `json:"offset"`
-	Digest      uint64      `json:"digest"`
-	StalenessMs int64       `json:"staleness-ms"`
-	Ready       bool        `json:"ready"`
-	Stopping    bool        `json:"stopping"`
-	Withdrawn   uint64      `json:"withdrawn"`
-	Stamp       event.Stamp `json:"stamp"`
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"`
+	Offset      uint64 `json:"offset"`
+	Digest      uint64 `json:"digest"`
+	StalenessMs int64  `json:"staleness-ms"`
+	Ready       bool   `json:"ready"`
+	Stopping    bool   `json:"stopping"`
+	Withdrawn   uint64 `json:"withdrawn"`
 }
 
 // Membership exchanges heartbeats with every declared gate and publishes a view.
@@ -172,7 +170,7 @@
 	f := m.facts()
 	return beatWire{
 		m.process.Name(), m.process.Incarnation(), f.Offset, f.Digest, f.StalenessMs,
-		f.Ready, f.Stopping, f.Withdrawn, m.process.Clock().Now(),
+		f.Ready, f.Stopping, f.Withdrawn,
 	}
 }
 
@@ -186,7 +184,6 @@
 }
 
 func (m *Membership) hear(beat beatWire) {
-	m.process.Clock().Observe(beat.Stamp)
 	m.mu.Lock()
 	changed := false
 	var heard Member
--- a/gate/daemon/peers/network.go
+++ b/gate/daemon/peers/network.go
@@ -15,6 +15,7 @@
 	"k8s.io/klog/v2"
 
 	"mangowing/core/codes"
+	"mangowing/core/event"
 )
 
 // ErrRefused is returned when the address refused the connection: surely no process listens there.
@@ -32,6 +33,7 @@
 type Network struct {
 	address  string
 	tls      *tls.Config
+	clock    *event.Clock
 	mu       sync.Mutex
 	handlers map[string]Handler
 	dialed   map[string]*link
@@ -44,11 +46,13 @@
 	conn *jsonrpc2.Conn
 }
 
-// NewNetwork returns a network that listens on the address; without a TLS configuration it speaks in the clear.
-func NewNetwork(address string, tlsConfig *tls.Config) *Network {
+// NewNetwork returns a network that listens on the address and stamps calls with the clock; without a TLS configuration
+// it speaks in the clear.
+func NewNetwork(address string, tlsConfig *tls.Config, clock *event.Clock) *Network {
 	return &Network{
 		address:  address,
 		tls:      tlsConfig,
+		clock:    clock,
 		handlers: map[string]Handler{},
 		dialed:   map[string]*link{},
 		accepted: map[*jsonrpc2.Conn]bool{},
@@ -92,8 +96,7 @@
 }
 
 func (n *Network) accept(ctx context.Context, conn net.Conn) {
-	stream := jsonrpc2.NewPlainObjectStream(n.traffic.count(conn))
-	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(handlerOf(n)), quiet())
+	rpc := n.converse(ctx, conn)
 	n.mu.Lock()
 	n.accepted[rpc] = true
 	n.mu.Unlock()
@@ -104,6 +107,12 @@
 	})
 }
 
+func (n *Network) converse(ctx context.Context, conn net.Conn) *jsonrpc2.Conn {
+	stream := jsonrpc2.NewPlainObjectStream(n.traffic.count(conn))
+	handler := jsonrpc2.AsyncHandler(handlerOf(n))
+	return jsonrpc2.NewConn(ctx, stream, handler, quiet(), jsonrpc2.OnSend(n.stampSent), jsonrpc2.OnRecv(n.observeReceived))
+}
+
 // contextOf returns a context that ends with the connection.
 func contextOf(rpc *jsonrpc2.Conn) context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -203,8 +212,7 @@
 	if err != nil {
 		return nil, err
 	}
-	stream := jsonrpc2.NewPlainObjectStream(n.traffic.count(conn))
-	l.conn = jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.AsyncHandler(handlerOf(n)), quiet())
+	l.conn = n.converse(context.Background(), conn)
 	return l.conn, nil
 }
 
--- a/gate/daemon/peers/network_tls_test.go
+++ b/gate/daemon/peers/network_tls_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"mangowing/core/event"
 )
 
 // tlsFor returns a gate's configuration with a fresh certificate for the IP number, trusting nobody but itself.
@@ -37,7 +39,7 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer listener.Close()
@@ -59,12 +61,12 @@
 		t.Run(s.testName, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
 			served := make(chan error, 1)
-			server := NewNetwork(freeAddress(t), s.server)
+			server := NewNetwork(freeAddress(t), s.server, &event.Clock{})
 			server.Handle("echo", func(context.Context, json.RawMessage) (any, error) { return "here", nil })
 			go func() { served <- server.Serve(ctx) }()
 			defer func() { cancel(); <-served }()
 			var answer string
-			err := callWhenUp(NewNetwork("", s.caller), server.address, &answer)
+			err := callWhenUp(NewNetwork("", s.caller, &event.Clock{}), server.address, &answer)
 			assert.Equal(t, err == nil, s.expected, "%v", err)
 			assert.Equal(t, answer == "here", s.expected)
 		})
