Give a raised limit back first to the data centres that lost it

Cause: a limit that was lowered and raised again could be split another way than before. A data centre that had folded neither, being cut off, still used its old part, and all parts together exceeded every limit in view: the walk found 2 rights under limits 1, 0, 1. The split now remembers what each lowering took from whom, and a raise gives back the last loss first. Then the union of all parts in use since the state that the slowest data centre has folded is the split at the highest limit since then. Ruled out: an acknowledgement of each lowering on the log (a cut data centre would block every raise); a split that depends on the limit alone (rights handed over between data centres break it). What remains: above a limit that was just lowered the running work ends, it is not stopped, and a cut data centre goes on using its old part. A team, or a data centre, that is removed from the declarations and declared again begins with a new split; not covered. Walk of one rights ledger for each of three data centres that follow the fold at different offsets. Seen red: without giving back, that walk and the fixed case 0, 2, 3, 2, 3.

--- a/core/fold/folder.go
+++ b/core/fold/folder.go
@@ -389,9 +389,10 @@
 	for _, name := range cfg.Teams() {
 		team, _ := cfg.Team(name)
 		current, _ := f.state.allots.get(name)
-		split := resplit(name, current.Split, cfg.Fleet().DataCentres(), team.Limit())
-		if !maps.Equal(split, current.Split) {
-			f.state.allots.set(name, allotState{Revision: f.state.seq, Split: split})
+		next := current.withLimit(name, cfg.Fleet().DataCentres(), team.Limit())
+		if !maps.Equal(next.Split, current.Split) {
+			next.Revision = f.state.seq
+			f.state.allots.set(name, next)
 		}
 	}
 	for _, name := range f.state.allots.keys() {
@@ -409,7 +410,7 @@
 	if a.Base() != current.Revision {
 		return refuse(codes.RevisionConflict, "the split of team "+a.Team()+" changed")
 	}
-	next := allotState{Revision: f.state.seq, Split: make(map[string]int, len(current.Split)), Pending: current.Pending}
+	next := allotState{Revision: f.state.seq, Split: make(map[string]int, len(current.Split)), Pending: current.Pending, Lost: current.Lost}
 	maps.Copy(next.Split, current.Split)
 	switch a.Phase() {
 	case "intent":
--- a/core/fold/state.go
+++ b/core/fold/state.go
@@ -220,8 +220,12 @@
 	Revision uint64         `json:"revision"`
 	Split    map[string]int `json:"split"`
 	Pending  *pendingAllot  `json:"pending,omitempty"`
+	Lost     []lostCounts   `json:"lost,omitempty"`
 }
 
+// lostCounts is what the data centres lost when the limit was lowered; the last loss is given back first.
+type lostCounts map[string]int
+
 type pendingAllot struct {
 	From  string `json:"from"`
 	To    string `json:"to"`
