--- a/gate/daemon/queue/client.go
+++ b/gate/daemon/queue/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -21,22 +22,57 @@
 	viewLag        = 2 * time.Second
 )
 
+// search is one request's way to a grant.
+type search struct {
+	service *Service
+	ask     askWire
+	begun   time.Time
+	tries   int
+	moveTo  string // the data centre whose dispatcher is to be asked next, empty for any
+}
+
+// next returns the ask of one more try. Its id is new, so that giving back an earlier try can't end a later grant.
+func (q *search) next(immediate bool) askWire {
+	q.tries++
+	ask := q.ask
+	if q.tries > 1 {
+		ask.Request += "." + strconv.Itoa(q.tries)
+	}
+	ask.Immediate = immediate
+	ask.AgeMs = time.Since(q.begun).Milliseconds()
+	return ask
+}
+
+// directed returns the dispatcher that an earlier one sent the request to, if it may grant.
+func (q *search) directed(sites []peers.Member) (peers.Member, bool) {
+	to := q.moveTo
+	q.moveTo = ""
+	for _, site := range sites {
+		if site.DataCentre() == to {
+			return site, true
+		}
+	}
+	return peers.Member{}, false
+}
+
 // Acquire asks for a grant: at once in any data centre that serves the pool, else by waiting in the one with the least
-// backlog. The error is a *codes.Error whose outcome is not-run.
+// backlog of the team. The error is a *codes.Error whose outcome is not-run.
 func (s *Service) Acquire(ctx context.Context, ask Ask) (Grant, error) {
-	begun := time.Now()
-	deadline := begun.Add(time.Duration(ask.w.WaitMs) * time.Millisecond)
+	q := &search{service: s, ask: ask.w, begun: time.Now()}
+	deadline := q.begun.Add(time.Duration(ask.w.WaitMs) * time.Millisecond)
 	for {
 		left := time.Until(deadline)
 		if left < leastWait || ctx.Err() != nil {
 			return Grant{}, lateError(ctx)
 		}
-		ask.w.WaitMs = left.Milliseconds()
-		grant, answer := s.acquireOnce(ctx, ask.w)
+		q.ask.WaitMs = left.Milliseconds()
+		grant, answer := s.acquireOnce(ctx, q)
 		switch {
 		case answer.Granted:
 			return grant, nil
-		case codes.Code(answer.Code) == codes.DispatcherLost || s.viewMayLag(codes.Code(answer.Code), begun):
+		case answer.MoveTo != "":
+			q.moveTo = answer.MoveTo
+		case codes.Code(answer.Code) == codes.DispatcherLost || s.viewMayLag(codes.Code(answer.Code), q.begun):
 			pause(ctx, lostPause)
 		default:
 			return Grant{}, codes.Errorf(codes.Code(answer.Code), "%s", answer.Detail)
@@ -56,19 +92,20 @@
 	return codes.Errorf(codes.DeadlineUnmeetable, "no dispatcher answered in time")
 }
 
-func (s *Service) acquireOnce(ctx context.Context, ask askWire) (Grant, answerWire) {
-	sites, answer := s.sites(ask)
+func (s *Service) acquireOnce(ctx context.Context, q *search) (Grant, answerWire) {
+	sites, answer := s.sites(q.ask)
 	if len(sites) == 0 {
 		return Grant{}, answer
 	}
+	if site, ok := q.directed(sites); ok {
+		return s.askDirected(ctx, site, q)
+	}
 	if len(sites) == 1 {
-		return s.askAt(ctx, sites[0], ask)
+		return s.askAt(ctx, sites[0], q.next(false))
 	}
 	best, bestBacklog := sites[0], int64(-1)
 	for _, site := range sites {
-		immediate := ask
-		immediate.Immediate = true
-		grant, answer := s.askAt(ctx, site, immediate)
+		grant, answer := s.askAt(ctx, site, q.next(true))
 		if answer.Granted {
 			return grant, answer
 		}
@@ -77,7 +114,16 @@
 			best, bestBacklog = site, answer.BacklogMs
 		}
 	}
-	return s.askAt(ctx, best, ask)
+	return s.askAt(ctx, best, q.next(false))
+}
+
+// askDirected asks where another dispatcher sent the request; a refusal there only means that it must look again.
+func (s *Service) askDirected(ctx context.Context, site peers.Member, q *search) (Grant, answerWire) {
+	grant, answer := s.askAt(ctx, site, q.next(false))
+	if !answer.Granted {
+		answer.Code = uint16(codes.DispatcherLost)
+	}
+	return grant, answer
 }
 
 // sites returns the dispatchers of the pool that may grant: this data centre's first, then the others that hold a
--- a/gate/daemon/queue/dispatcher.go
+++ b/gate/daemon/queue/dispatcher.go
@@ -58,6 +58,13 @@
 
 type statusCommand struct{ reply chan PoolLoad }
 
+type waitingCommand struct {
+	teams []string
+	reply chan levelAnswerWire
+}
+
+type moveCommand struct{ moves []move }
+
 func (askCommand) isCommand()         {}
 func (cancelCommand) isCommand()      {}
 func (releaseCommand) isCommand()     {}
@@ -67,6 +74,8 @@
 func (unsureCommand) isCommand()      {}
 func (holderGoneCommand) isCommand()  {}
 func (statusCommand) isCommand()      {}
+func (waitingCommand) isCommand()     {}
+func (moveCommand) isCommand()        {}
 
 // PoolLoad is what a dispatcher knows of its pool's load.
 type PoolLoad struct {
@@ -119,6 +128,7 @@
 type waiter struct {
 	ask   askWire
 	reply chan answerWire
+	asked time.Time
 }
 
 // dispatcher grants the starts of one pool in one data centre; its own goroutine owns all fields but configured.
@@ -132,6 +142,8 @@
 	grants     map[string]*outstanding
 	slots      int
 	active     bool
+	levelling  bool              // the other dispatchers of the pool are being asked
+	levelled   time.Time         // when they were last asked
 	configured *configureCommand // what the service sent last, under its refreshing lock
 }
 
@@ -158,6 +170,7 @@
 			d.handle(cmd)
 		case <-tick.C():
 			d.expire()
+			d.level(ctx, time.Now())
 		}
 		d.pump()
 	}
@@ -183,6 +196,10 @@
 		d.holdersGone(cmd.alive)
 	case statusCommand:
 		cmd.reply <- d.load()
+	case waitingCommand:
+		cmd.reply <- d.waitingOf(cmd.teams)
+	case moveCommand:
+		d.move(cmd.moves)
 	}
 }
 
@@ -220,7 +237,7 @@
 		cmd.reply <- answer
 		return
 	}
-	d.waiters[cmd.ask.Request] = waiter(cmd)
+	d.waiters[cmd.ask.Request] = waiter{cmd.ask, cmd.reply, now}
 	if cmd.ask.Immediate {
 		d.pump()
 		d.refuseIfWaiting(cmd.ask)
@@ -229,7 +246,7 @@
 
 func (d *dispatcher) item(a askWire, now time.Time) share.Item {
 	spec := share.ItemSpec{
-		ID: a.Request, Team: a.Team, Class: a.Class, Arrived: now,
+		ID: a.Request, Team: a.Team, Class: a.Class, Arrived: now.Add(-time.Duration(a.AgeMs) * time.Millisecond),
 		Deadline: now.Add(time.Duration(a.WaitMs) * time.Millisecond),
 		Expected: time.Duration(a.RunTimeMs) * time.Millisecond,
 	}
@@ -345,7 +362,7 @@
 	d.service.process.Events().Add("grant", event.About{Request: item.ID(), Team: item.Team(), VM: target.Name()})
 	w.reply <- answerWire{
 		Granted: true, VM: target.Name(), Address: target.Address(), Dispatcher: d.service.process.Incarnation(),
-		WaitedMs: now.Sub(item.Arrived()).Milliseconds(),
+		WaitedMs: now.Sub(w.asked).Milliseconds(),
 	}
 }
 
@@ -428,8 +445,9 @@
 		}
 	}
 	for request, w := range d.waiters {
-		if !alive[w.ask.Holder] {
-			d.cancel(request)
+		if !alive[w.ask.Holder] { // or it was not heard of yet; then it asks again
+			d.scheduler.Remove(request)
+			d.refuse(request, codes.DispatcherLost, "the asking gate is not known")
 		}
 	}
 }
--- a/gate/daemon/queue/grant.go
+++ b/gate/daemon/queue/grant.go
@@ -23,6 +23,7 @@
 	Class        decl.Class `json:"class"`
 	QueueLength  int        `json:"queue-length"`
 	WaitMs       int64      `json:"wait-ms"`
+	AgeMs        int64      `json:"age-ms,omitempty"` // since the request was first asked for, at any dispatcher
 	FinishInMs   int64      `json:"finish-in-ms"`
 	RunTimeMs    int64      `json:"run-time-ms"`
 	Holder       string     `json:"holder"`
@@ -93,6 +94,7 @@
 	Granted    bool   `json:"granted"`
 	Code       uint16 `json:"code"`
 	Detail     string `json:"detail,omitempty"`
+	MoveTo     string `json:"move-to,omitempty"` // the data centre where to ask instead
 	BacklogMs  int64  `json:"backlog-ms"`
 	WaitedMs   int64  `json:"waited-ms"`
 	VM         string `json:"vm,omitempty"`
--- a/gate/daemon/queue/service.go
+++ b/gate/daemon/queue/service.go
@@ -105,6 +105,7 @@
 	s.peers.Handle(methodRelease, s.answerRelease)
 	s.peers.Handle(methodDrained, s.answerDrained)
 	s.peers.Handle(methodLoad, s.answerLoad)
+	s.peers.Handle(methodLevel, s.answerLevel)
 	return s
 }
 
