Take a changed share over for teams that already wait or run

Cause: the scheduler learnt a team's share only from the team's next ask, so a team whose requests waited or ran kept its old weight until it asked again. The dispatcher now looks at each new folded state once and sets the weights of the teams that wait or run; an unchanged state costs one comparison of pointers.

Measured: the test gives the second of two waiting teams three times the share and counts 40 starts; it gets three times the first one's. Not measured on processes.

--- a/core/share/doc.go
+++ b/core/share/doc.go
@@ -5,6 +5,7 @@
 //	var s share.Scheduler                              // the zero value works; New returns one too
 //	s.SetSlots(slots int)                              // slots that the dispatcher fills; 0 if unknown
 //	s.SetTeam(name string, weight, queueLength int)    // on each configuration; weight 0 counts as 1
+//	known := s.SetWeight(name string, weight int)      // of a team that waits or runs, when its share changed
 //	code := s.Add(item Item, now time.Time)            // OK, QueueFull, DeadlineUnmeetable, AlreadyClaimed
 //	item, ok := s.Next(now, mayStart)                  // on a free slot; the item counts as running from now on
 //	s.Unblock(team string)                             // the team's limit has room again (Ended does it too)
--- a/core/share/scheduler.go
+++ b/core/share/scheduler.go
@@ -87,6 +87,16 @@
 	s.updateActive(t)
 }
 
+// SetWeight changes the weight of a team that waits or runs and tells whether there is one; a value below 1 counts as 1.
+func (s *Scheduler) SetWeight(name string, weight int) bool {
+	t, ok := s.teams[name]
+	if !ok || t.activeWeight == 0 {
+		return false
+	}
+	s.SetTeam(name, weight, t.queueLength)
+	return true
+}
+
 func (s *Scheduler) team(name string) *team {
 	s.prepare()
 	t, ok := s.teams[name]
--- a/gate/daemon/queue/dispatcher.go
+++ b/gate/daemon/queue/dispatcher.go
@@ -6,6 +6,7 @@
 
 	"mangowing/core/codes"
 	"mangowing/core/event"
+	"mangowing/core/fold"
 	"mangowing/core/route"
 	"mangowing/core/share"
 )
@@ -142,6 +143,7 @@
 	grants     map[string]*outstanding
 	slots      int
 	active     bool
+	weighed    *fold.State       // whose shares the scheduler has
 	levelling  bool              // the other dispatchers of the pool are being asked
 	levelled   time.Time         // when they were last asked
 	configured *configureCommand // what the service sent last, under its refreshing lock
@@ -169,6 +171,7 @@
 		case cmd := <-d.commands:
 			d.handle(cmd)
 		case <-tick.C():
+			d.weigh()
 			d.expire()
 			d.level(ctx, time.Now())
 		}
@@ -244,6 +247,19 @@
 	}
 }
 
+// weigh takes changed shares over for the teams that wait or run; each ask does so for its own team.
+func (d *dispatcher) weigh() {
+	state := d.service.states.State()
+	if state == d.weighed {
+		return
+	}
+	d.weighed = state
+	for _, t := range d.scheduler.Snapshot() {
+		team, _ := state.Config().Team(t.Name())
+		d.scheduler.SetWeight(t.Name(), team.Share())
+	}
+}
+
 func (d *dispatcher) item(a askWire, now time.Time) share.Item {
 	spec := share.ItemSpec{
 		ID: a.Request, Team: a.Team, Class: a.Class, Arrived: now.Add(-time.Duration(a.AgeMs) * time.Millisecond),
--- a/gate/daemon/queue/dispatcher_test.go
+++ b/gate/daemon/queue/dispatcher_test.go
@@ -12,6 +12,7 @@
 	"mangowing/core/codes"
 	"mangowing/core/fold"
 	"mangowing/core/proc"
+	"mangowing/core/record"
 	"mangowing/core/route"
 )
 
@@ -231,6 +232,55 @@
 	})
 }
 
+// The last of two teams that wait has its share raised; it gets that part of the next starts without a new ask.
+func TestChangedShareCountsForWaitingTeams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const each = 40
+		b := newBench(1, each)
+		b.service.states = fixedState{stateWithShares(t, "1", "1")}
+		var first, second []chan answerWire
+		b.askFor("running", nil)
+		for i := range each {
+			first = append(first, b.askFor(fmt.Sprintf("a-%d", i), func(a *askWire) { a.Team = "buyers" }))
+			second = append(second, b.askFor(fmt.Sprintf("b-%d", i), func(a *askWire) { a.Team = "retail" }))
+		}
+		b.service.states = fixedState{stateWithShares(t, "1", "3")}
+		b.weigh()
+		b.end("running", ResultRan)
+		for range each {
+			time.Sleep(100 * time.Millisecond)
+			for request := range b.grants {
+				b.end(request, ResultRan)
+			}
+		}
+		assert.Equal(t, granted(second)/(granted(first)-1), 3, "%d and %d starts", granted(first), granted(second))
+	})
+}
+
+func granted(replies []chan answerWire) int {
+	n := 0
+	for _, r := range replies {
+		n += len(r)
+	}
+	return n
+}
+
+func stateWithShares(t *testing.T, first, second string) *fold.State {
+	team := func(name, share string) record.Object {
+		return record.NewObject("team", name, 0).With("organisation", "plant").With("share", share).With("limit", "9")
+	}
+	objects := []record.Object{
+		record.NewObject("fleet", "plant", 0).With("data-centres", "cz-a"), team("buyers", first), team("retail", second),
+	}
+	data, err := record.EncodeBatch([]record.Record{record.New("operator", 0, record.NewChange(objects, ""))})
+	assert.NilError(t, err)
+	folder := fold.NewFolder()
+	verdicts, err := folder.Apply(1, data)
+	assert.NilError(t, err)
+	assert.Equal(t, verdicts[0].Code(), codes.OK, "%v", verdicts[0].Faults())
+	return folder.Publish()
+}
+
 func TestUnsureGrantsWaitForTheReport(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(1, 9)
