--- a/mango/cmds/job.go
+++ b/mango/cmds/job.go
@@ -19,7 +19,7 @@
 }
 
 func (s *Shell) jobCommand() *cobra.Command {
-	cmd := group("job", "Hand in, watch and cancel long jobs with a team's key", s.jobSubmitCommand(),
+	cmd := group("job", "Hand in, watch and cancel long jobs with a team's key (no gate serves them yet)", s.jobSubmitCommand(),
 		s.jobByIDCommand("status", "Show the state of a job", Jobs.Status),
 		s.jobByIDCommand("cancel", "Cancel a job; cancelling it again changes nothing", Jobs.Cancel))
 	cmd.PersistentFlags().StringSliceVar(&s.flags.callers, "callers", nil, "caller addresses of gates or of the balancer, host:port")
