--- a/gate/daemon/assemble.go
+++ b/gate/daemon/assemble.go
@@ -18,7 +18,7 @@
 	"mangowing/gate/daemon/limits"
 	"mangowing/gate/daemon/once"
 	"mangowing/gate/daemon/peers"
-	"mangowing/gate/daemon/planner"
+	"mangowing/gate/daemon/plan"
 	"mangowing/gate/daemon/queue"
 	"mangowing/gate/daemon/relay"
 	"mangowing/gate/daemon/state"
@@ -38,7 +38,7 @@
 	callers  *caller.Server
 	admin    *admin.Server
 	fleet    *fleetView
-	planner  *planner.Service
+	planner  *plan.Service
 	limits   *limits.Service
 	once     *once.Service
 	stopping atomic.Bool
@@ -71,7 +71,7 @@
 		Workers: workers, Rights: g.limits, ReportLag: settings.reportLag,
 	})
 	g.fleet = &fleetView{process: g.process, control: g.control, vms: g.vms, queues: g.queues, workers: workers}
-	g.planner = planner.New(planner.Deps{
+	g.planner = plan.New(plan.Deps{
 		Process: g.process, State: g.control, Recorder: g.control, Platform: platform, Fleet: g.fleet,
 	})
 	runner := relay.NewRunner(g.process, g.queues, relay.NewUpstreams(), settings.retryPercent)
--- a/gate/daemon/planner/service_test.go
+++ b/gate/daemon/plan/service_test.go
@@ -1,4 +1,4 @@
-package planner
+package plan
 
 import (
 	"testing"
--- a/gate/daemon/planner/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package planner is the part of a gate that may hold the planner's lease and then moves and maintains VMs.
-package planner
