--- a/stand/prove/share_test.go
+++ b/stand/prove/share_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -87,9 +86,6 @@
 
 // The plant floor keeps its share of a saturated pool while the large customer floods, over any 10 s.
 func TestShareInASaturatedPool(t *testing.T) {
-	if os.Getenv("PROVE_RED") != "yes" {
-		t.Skip("listed in KNOWN-RED.txt; set PROVE_RED=yes")
-	}
 	scenarios := []struct {
 		testName   string
 		floorGates int
