Reclaim the grants of gates that fall silent

Cause: with one gate of each data centre killed in an outage only 13 to 41 of a limit of 64 ran though 64 rights were held: 31 grants stayed out for good because their holders' addresses did not refuse connections but were silent, as those of a lost VM are. A dispatcher now asks the upstreams about the grants of every gate that does not answer; a report later than the start window and the report's lag is proof whether the gate lives or not. Also: a VM is no longer blamed for work whose gate died.

--- a/gate/daemon/queue/dispatcher.go
+++ b/gate/daemon/queue/dispatcher.go
@@ -124,6 +124,7 @@
 	holder  string
 	granted time.Time
 	unsure  bool
+	failed  bool // the holder itself said that the VM gave no usable answer
 }
 
 type waiter struct {
@@ -392,6 +393,7 @@
 	took := time.Duration(r.TookMs) * time.Millisecond
 	if r.Result == ResultUnsure {
 		g.unsure = true
+		g.failed = true
 		return true
 	}
 	d.end(g, r.Result, took)
@@ -403,7 +405,7 @@
 	delete(d.grants, g.request)
 	d.balancer.Ended(g.vm, routeResult(result), took, now)
 	charged := took
-	if result != ResultRan && result != ResultFailed && result != ResultUnsure {
+	if result != ResultRan && result != ResultFailed && result != ResultUnsure && result != resultAbandoned {
 		charged = 0
 	}
 	d.scheduler.Ended(g.request, charged, now)
@@ -419,7 +421,7 @@
 		return route.Refused
 	case ResultUnreached:
 		return route.Unreached
-	case ResultNotStarted:
+	case ResultNotStarted, resultAbandoned:
 		return route.Neutral
 	default:
 		return route.Good
@@ -429,10 +431,18 @@
 func (d *dispatcher) reclaim(request string) {
 	if g, known := d.grants[request]; known {
 		d.service.process.Events().Add("grant-reclaimed", event.About{Request: request, Team: g.team, VM: g.vm})
-		d.end(g, ResultUnsure, time.Since(g.granted))
+		d.end(g, g.reclaimedAs(), time.Since(g.granted))
 	}
 }
 
+// reclaimedAs says nothing against a VM whose work's only fault is that the gate which waited for it is gone.
+func (g *outstanding) reclaimedAs() Result {
+	if g.failed {
+		return ResultUnsure
+	}
+	return resultAbandoned
+}
+
 func (d *dispatcher) outstandingOn(vm string) int {
 	n := 0
 	for _, g := range d.grants {
@@ -453,7 +463,7 @@
 	return out
 }
 
-// holdersGone marks the grants of gates that certainly ended: their work may still run, but nobody will release it.
+// holdersGone marks the grants of gates that do not answer: their work may still run, but perhaps nobody will release it.
 func (d *dispatcher) holdersGone(alive map[string]bool) {
 	for _, g := range d.grants {
 		if !alive[g.holder] {
--- a/gate/daemon/queue/grant.go
+++ b/gate/daemon/queue/grant.go
@@ -117,6 +117,7 @@
 	ResultUnreached  Result = "unreached"
 	ResultNotStarted Result = "not-started"
 	ResultUnsure     Result = "unsure"
+	resultAbandoned  Result = "abandoned" // the holder ended without a word
 )
 
 type releaseWire struct {
--- a/gate/daemon/queue/service.go
+++ b/gate/daemon/queue/service.go
@@ -191,12 +191,12 @@
 	return out
 }
 
-// tellHolders lets the dispatchers know which incarnations may still hold grants. Only certain evidence takes one
-// off the list: its address refuses connections, or another incarnation answers there.
+// tellHolders lets the dispatchers know which incarnations answer. A silent one may be alive, but its grants end only by
+// the workers' reports, which is safe whether it is or not.
 func (s *Service) tellHolders(view *peers.View) {
 	alive := map[string]bool{}
 	for _, m := range view.Members() {
-		if m.Self() || !m.Refused() {
+		if view.Reachable(m) {
 			alive[m.Incarnation()] = true
 		}
 	}
