Test calls between gates and the membership

Neither the contract of Call nor the heartbeats had a test. Calls are tested over loopback: refused, silent, coded and other errors, unknown method, 1 MiB body, 50 concurrent calls over one connection, a connection dropped from either side, three processes in turn on one address. The membership is tested in virtual time over an in-memory hub, for which it now asks for a small interface in place of *Network: who begins, periods across data centres, silence, refusal and return, a replacement, an announcement, ranks.

No fault was found. Seen red, each with one line changed: the lower name's rule off, the far period off, a refusal never cleared, a new incarnation not noticed at once, stopping gates ranked (the announcement and rank tests), the connection's handler made synchronous. Two weak spots of the tests were mended on the way: the replacement was first looked at after two periods and missed its change, and the concurrent calls hung without end instead of failing.

--- a/gate/daemon/peers/heartbeat.go
+++ b/gate/daemon/peers/heartbeat.go
@@ -41,10 +41,17 @@
 	Withdrawn   uint64 `json:"withdrawn"`
 }
 
+// caller is what the membership needs of the network.
+type caller interface {
+	Handle(method string, h Handler)
+	Call(ctx context.Context, address, method string, params, result any) error
+	Drop(address string)
+}
+
 // Membership exchanges heartbeats with every declared gate and publishes a view.
 type Membership struct {
 	process    *proc.Process
-	network    *Network
+	network    caller
 	dataCentre string
 	period     time.Duration
 	facts      func() Facts
@@ -57,7 +64,7 @@
 }
 
 // NewMembership returns the membership of the declared gates; facts is asked before each heartbeat.
-func NewMembership(process *proc.Process, network *Network, members []Member, period time.Duration, facts func() Facts) *Membership {
+func NewMembership(process *proc.Process, network caller, members []Member, period time.Duration, facts func() Facts) *Membership {
 	m := &Membership{process: process, network: network, period: period, facts: facts, members: members}
 	for i := range m.members {
 		if m.members[i].name == process.Name() {
