--- a/core/timer/service.go
+++ b/core/timer/service.go
@@ -52,6 +52,20 @@
 	return sub
 }
 
+// Each calls f at every tick of the period until the context ends, and returns the context's error.
+func (s *Service) Each(ctx context.Context, period time.Duration, f func(ctx context.Context)) error {
+	tick := s.Every(period)
+	defer tick.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C():
+			f(ctx)
+		}
+	}
+}
+
 // Pauses returns how often the process was found not to have run for two seconds or more.
 func (s *Service) Pauses() uint64 {
 	s.mu.Lock()
--- a/gate/daemon/admin/declaration_controller.go
+++ b/gate/daemon/admin/declaration_controller.go
@@ -35,12 +35,7 @@
 
 func (s *Server) objects(w http.ResponseWriter, _ *http.Request) {
 	st := s.deps.Control.State()
-	writeJSON(w, http.StatusOK, objectsWire{st.Revision(), st.Offset(), s.bases()})
-}
-
-// bases returns the declared sections, and those removed lately are left to the fold to judge.
-func (s *Server) bases() []record.Object {
-	return s.deps.Control.State().Objects()
+	writeJSON(w, http.StatusOK, objectsWire{st.Revision(), st.Offset(), st.Objects()})
 }
 
 func (s *Server) change(w http.ResponseWriter, r *http.Request) {
--- a/gate/daemon/fleet_helper.go
+++ b/gate/daemon/fleet_helper.go
@@ -41,16 +41,7 @@
 
 // Serve gathers the demand while this gate holds the planner's lease, until the context ends.
 func (f *fleetView) Serve(ctx context.Context) error {
-	tick := f.process.Timers().Every(demandPeriod)
-	defer tick.Close()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C():
-			f.gather(ctx)
-		}
-	}
+	return f.process.Timers().Each(ctx, demandPeriod, f.gather)
 }
 
 func (f *fleetView) gather(ctx context.Context) {
--- a/gate/daemon/peers/member.go
+++ b/gate/daemon/peers/member.go
@@ -120,3 +120,16 @@
 }
 
 func score(key, name string) uint64 { return xxhash.Sum64String(key + "\x00" + name) }
+
+// NewView returns a view in which the named gate is this one and all gates are ready and were just heard.
+func NewView(members []Member, self string) *View {
+	now := time.Now()
+	v := &View{now: now, timeout: time.Minute}
+	for _, m := range members {
+		m.self = m.name == self
+		m.heard = now
+		m.beat.Ready = true
+		v.members = append(v.members, m)
+	}
+	return v
+}
--- a/gate/daemon/queue/dispatcher.go
+++ b/gate/daemon/queue/dispatcher.go
@@ -78,61 +78,6 @@
 func (waitingCommand) isCommand()     {}
 func (moveCommand) isCommand()        {}
 
-// PoolLoad is what a dispatcher knows of its pool's load.
-type PoolLoad struct {
-	waiting int
-	running int
-	slots   int
-	teams   []share.TeamSnapshot
-	vms     []VMLoad
-	ejected []string
-}
-
-// Waiting returns the number of requests that wait.
-func (l PoolLoad) Waiting() int { return l.waiting }
-
-// Running returns the number of grants not yet released.
-func (l PoolLoad) Running() int { return l.running }
-
-// Slots returns the number of slots of the pool's serving VMs in this data centre.
-func (l PoolLoad) Slots() int { return l.slots }
-
-// Teams returns each team's part.
-func (l PoolLoad) Teams() []share.TeamSnapshot { return l.teams }
-
-// VMs returns the VMs with grants not yet released, in no order.
-func (l PoolLoad) VMs() []VMLoad { return l.vms }
-
-// VMLoad is the number of grants on one VM.
-type VMLoad struct {
-	vm      string
-	running int
-}
-
-// VM returns the VM's name.
-func (l VMLoad) VM() string { return l.vm }
-
-// Running returns the number of grants not yet released.
-func (l VMLoad) Running() int { return l.running }
-
-// outstanding is a grant that was not released.
-type outstanding struct {
-	request string
-	team    string
-	vm      string
-	address string
-	holder  string
-	granted time.Time
-	unsure  bool
-	failed  bool // the holder itself said that the VM gave no usable answer
-}
-
-type waiter struct {
-	ask   askWire
-	reply chan answerWire
-	asked time.Time
-}
-
 // dispatcher grants the starts of one pool in one data centre; its own goroutine owns all fields but configured.
 type dispatcher struct {
 	service    *Service
--- a/gate/daemon/state/snapshot.go
+++ b/gate/daemon/state/snapshot.go
@@ -26,16 +26,7 @@
 // WriteSnapshots appends a snapshot of the state whenever enough entries or time passed, until the context ends.
 // Two gates that both believe it is theirs write two snapshots, which harms nothing.
 func (s *Service) WriteSnapshots(ctx context.Context) error {
-	tick := s.process.Timers().Every(snapshotCheckPeriod)
-	defer tick.Close()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C():
-			s.snapshotIfDue(ctx)
-		}
-	}
+	return s.process.Timers().Each(ctx, snapshotCheckPeriod, s.snapshotIfDue)
 }
 
 func (s *Service) snapshotIfDue(ctx context.Context) {
--- a/gate/daemon/state/withdraw.go
+++ b/gate/daemon/state/withdraw.go
@@ -135,16 +135,7 @@
 // PersistWithdrawals appends withdrawals that the log does not have yet, until the context ends. Every gate does it:
 // the record's id follows from the key, so that a repeat folds to nothing.
 func (s *Service) PersistWithdrawals(ctx context.Context) error {
-	tick := s.process.Timers().Every(withdrawPeriod)
-	defer tick.Close()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C():
-			s.persistOnce(ctx)
-		}
-	}
+	return s.process.Timers().Each(ctx, withdrawPeriod, s.persistOnce)
 }
 
 func (s *Service) persistOnce(ctx context.Context) {
--- a/gate/plat/page.go
+++ b/gate/plat/page.go
@@ -17,6 +17,15 @@
 	Data   string `json:"data"`
 }
 
+// NewPage returns a page for tests and fakes.
+func NewPage(oldest, next uint64, entries []Entry) Page {
+	w := pageWire{Oldest: oldest, Next: next}
+	for _, e := range entries {
+		w.Entries = append(w.Entries, e.w)
+	}
+	return Page{w}
+}
+
 // Oldest returns the least offset that the log still keeps.
 func (p Page) Oldest() uint64 { return p.w.Oldest }
 
