--- /dev/null
+++ b/core/fold/change_test.go
@@ -0,0 +1,30 @@
+package fold
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mangowing/core/codes"
+	"mangowing/core/record"
+)
+
+// A section that was removed can be declared anew, by one of two operators who race for it.
+func TestRemovedSectionIsDeclaredAnew(t *testing.T) {
+	f := NewFolder()
+	apply := func(id string, o record.Object) codes.Code {
+		data, err := record.EncodeBatch([]record.Record{record.NewWithID(id, "eva", 0, record.NewChange([]record.Object{o}, ""))})
+		assert.NilError(t, err)
+		verdicts, err := f.Apply(f.Offset()+1, data)
+		assert.NilError(t, err)
+		return verdicts[0].Code()
+	}
+	pool := record.NewObject("pool", "web", 0).With("vms", "w1")
+	assert.Equal(t, apply("1", pool), codes.OK)
+	_, revision := f.Publish().Object("pool", "web")
+	assert.Equal(t, apply("2", record.NewObject("pool", "web", revision).AsRemoved()), codes.OK)
+	assert.Equal(t, apply("3", pool), codes.OK)
+	assert.Equal(t, apply("4", pool), codes.RevisionConflict)
+	_, known := f.Publish().Config().Pool("web")
+	assert.Assert(t, known)
+}
--- a/core/fold/folder.go
+++ b/core/fold/folder.go
@@ -334,7 +334,7 @@
 	proposed := f.state.objects.toMap()
 	for _, o := range c.Objects() {
 		key := objectKey(o.Kind(), o.Name())
-		if proposed[key].Revision != o.Base() {
+		if proposed[key].base() != o.Base() {
 			return refuse(codes.RevisionConflict, "["+key+"] changed")
 		}
 		proposed[key] = storedObject{f.state.seq, o}
--- a/core/fold/state.go
+++ b/core/fold/state.go
@@ -216,6 +216,14 @@
 	Object   record.Object `json:"object"`
 }
 
+// base returns the revision that the next change must name: 0 for a section that was removed, as for a new one.
+func (s storedObject) base() uint64 {
+	if s.Object.Removed() {
+		return 0
+	}
+	return s.Revision
+}
+
 type allotState struct {
 	Revision uint64         `json:"revision"`
 	Split    map[string]int `json:"split"`
--- a/gate/daemon/state/append.go
+++ b/gate/daemon/state/append.go
@@ -40,6 +40,9 @@
 	offset  uint64
 }
 
+// NewPlaced returns a verdict on a record whose entry stands at the offset.
+func NewPlaced(v fold.Verdict, offset uint64) Placed { return Placed{v, offset} }
+
 // Verdict returns what became of the record.
 func (p Placed) Verdict() fold.Verdict { return p.verdict }
 
