--- a/gate/daemon/admin/server_test.go
+++ b/gate/daemon/admin/server_test.go
@@ -35,9 +35,9 @@
 	withdrawn map[string]bool
 }
 
-func (c *control) State() *fold.State { return c.folder.Publish() }
-func (c *control) StalenessMs() int64 { return 0 }
-func (c *control) LogReachable() bool { return !c.down }
+func (c *control) State() *fold.State                      { return c.folder.Publish() }
+func (c *control) StalenessMs() int64                      { return 0 }
+func (c *control) LogReachable() bool                      { return !c.down }
 func (c *control) Withdraw(_ context.Context, hash string) { c.withdrawn[hash] = true }
 
 func (c *control) Withdrawn(hash string) bool                              { return c.withdrawn[hash] }
