--- a/Makefile
+++ b/Makefile
@@ -28,5 +28,15 @@
 	@out=$$(go tool gofumpt -l $(MODULES)); test -z "$$out" || { echo "not formatted:"; echo "$$out"; exit 1; }
 	go tool revive -set_exit_status $(PACKAGES)
 
+generate: ## write the generated pages of docs/
+	go run ./mango reference codes > docs/CODES.md
+	go run ./mango reference commands > docs/COMMANDS.md
+
+check-generated: ## fail if a generated page differs from the code
+	@for page in codes commands; do \
+		file=docs/$$(echo $$page | tr a-z A-Z).md; \
+		go run ./mango reference $$page | diff -u $$file - || { echo "$$file differs: run make generate"; exit 1; }; \
+	done
+
 clean: ## remove build output
 	rm -rf $(BIN)
--- a/core/decl/ini_helper.go
+++ b/core/decl/ini_helper.go
@@ -63,7 +63,7 @@
 			}
 			continue
 		}
-		kind, name, _ := strings.Cut(section.Name(), " ")
+		kind, name, _ := strings.Cut(strings.TrimSpace(section.Name()), " ")
 		o := record.NewObject(kind, strings.TrimSpace(name), 0)
 		for _, key := range section.Keys() {
 			for _, value := range key.ValueWithShadows() {
--- a/core/decl/model.go
+++ b/core/decl/model.go
@@ -1,6 +1,9 @@
 package decl
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Class is the urgency of a team's work on a queue; it orders the queue.
 type Class uint8
@@ -199,6 +202,11 @@
 // Pools returns the pools that the wave covers, empty for all.
 func (w Wave) Pools() []string { return w.pools }
 
+// Covers tells whether the wave covers the pool.
+func (w Wave) Covers(pool string) bool {
+	return len(w.pools) == 0 || slices.Contains(w.pools, pool)
+}
+
 // MinServing returns how many VMs of each pool must keep serving, besides the pool's own minimum.
 func (w Wave) MinServing() int { return w.minServing }
 
@@ -211,6 +219,11 @@
 // Freeze returns the windows in which the wave starts nothing.
 func (w Wave) Freeze() []Window { return w.freeze }
 
+// FrozenAt tells whether the wave starts nothing at the time of day, a duration since midnight UTC.
+func (w Wave) FrozenAt(ofDay time.Duration) bool {
+	return slices.ContainsFunc(w.freeze, func(window Window) bool { return window.Contains(ofDay) })
+}
+
 // Config is a whole checked configuration, immutable after Compile.
 type Config struct {
 	fleet  Fleet
--- /dev/null
+++ b/mango/cmds/declarations.go
@@ -0,0 +1,195 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"mangowing/core/codes"
+	"mangowing/core/decl"
+	"mangowing/core/record"
+	"mangowing/mango/delta"
+	"mangowing/mango/gates"
+	"mangowing/mango/opsapi"
+	"mangowing/mango/show"
+)
+
+type declarations interface {
+	Objects(ctx context.Context) (opsapi.Declared, error)
+	Change(ctx context.Context, objects []record.Object, note string) (opsapi.Result, error)
+	History(ctx context.Context) ([]opsapi.HistoryRow, error)
+}
+
+func (s *Shell) applyCommand() *cobra.Command {
+	var note string
+	cmd := &cobra.Command{
+		Use:   "apply DIR",
+		Short: "Bring the fleet to the declarations in a directory, all of them or none",
+		Long: `Apply sends the sections that differ from those in force, removed ones included, as one change. It returns
+once the change is in force at every gate that was asked, and says which gate was last.
+
+If a section was changed by someone else meanwhile, nothing changes and the exit code is 4.`,
+		Example: "  mango apply deploy/vlnka --note \"raise the plant floor's share\"",
+		Args:    exactArgs("DIR"),
+		RunE: s.withOperators(func(cmd *cobra.Command, args []string, ops Operators) error {
+			return s.apply(cmd.Context(), ops, args[0], note)
+		}),
+	}
+	cmd.Flags().StringVar(&note, "note", "", "a note for the history")
+	return cmd
+}
+
+func (s *Shell) apply(ctx context.Context, ops declarations, dir, note string) error {
+	differences, err := compare(ctx, ops, dir)
+	if err != nil {
+		return err
+	}
+	if len(differences) == 0 {
+		return s.print(show.Note("nothing to change"))
+	}
+	var changed []record.Object
+	for _, d := range differences {
+		changed = append(changed, d.Change())
+	}
+	result, err := ops.Change(ctx, changed, note)
+	return s.printResult(result, whoWasFirst(ctx, ops, err))
+}
+
+func compare(ctx context.Context, ops declarations, dir string) ([]delta.Difference, error) {
+	wanted, err := readChecked(dir)
+	if err != nil {
+		return nil, err
+	}
+	declared, err := ops.Objects(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return delta.Compare(declared.Objects(), wanted), nil
+}
+
+// readChecked returns a directory's sections, or every fault in them.
+func readChecked(dir string) ([]record.Object, error) {
+	objects, err := decl.ReadDirectory(dir)
+	if err != nil {
+		return nil, &faultsError{err.Error()}
+	}
+	return objects, checked(objects)
+}
+
+func checked(objects []record.Object) error {
+	_, faults := decl.Compile(objects)
+	if len(faults) == 0 {
+		return nil
+	}
+	lines := []string{fmt.Sprintf("%d faults, nothing was changed", len(faults))}
+	for _, f := range faults {
+		lines = append(lines, "  "+f.String())
+	}
+	return &faultsError{strings.Join(lines, "\n")}
+}
+
+// conflictError is a change that another operator's change came before.
+type conflictError struct {
+	refused *gates.Refused
+	first   opsapi.HistoryRow
+}
+
+func (c *conflictError) Error() string {
+	return fmt.Sprintf("%s\n  %s was first at revision %d (%s); look at mango diff, then apply again",
+		c.refused, c.first.By(), c.first.Revision(), noteOr(c.first.Note(), "no note"))
+}
+
+func (c *conflictError) Unwrap() error { return c.refused }
+
+func noteOr(note, fallback string) string {
+	if note == "" {
+		return fallback
+	}
+	return note
+}
+
+// whoWasFirst adds to a conflict the last change that did come into force.
+func whoWasFirst(ctx context.Context, ops declarations, err error) error {
+	var refused *gates.Refused
+	if !errors.As(err, &refused) || refused.Result().Code() != codes.RevisionConflict {
+		return err
+	}
+	rows, historyErr := ops.History(ctx)
+	if historyErr != nil {
+		return err
+	}
+	for i := len(rows) - 1; i >= 0; i-- {
+		if rows[i].Code() == codes.OK {
+			return &conflictError{refused, rows[i]}
+		}
+	}
+	return err
+}
+
+func (s *Shell) diffCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "diff DIR",
+		Short:   "Show how a directory differs from the declarations in force",
+		Example: "  mango diff deploy/vlnka\n  mango diff deploy/vlnka --output json",
+		Args:    exactArgs("DIR"),
+		RunE: s.withOperators(func(cmd *cobra.Command, args []string, ops Operators) error {
+			differences, err := compare(cmd.Context(), ops, args[0])
+			if err != nil {
+				return err
+			}
+			return s.print(show.NewDifferences(differences))
+		}),
+	}
+}
+
+func (s *Shell) validateCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "validate DIR",
+		Short:   "Check a directory without asking a gate",
+		Example: "  mango validate deploy/hessian",
+		Args:    exactArgs("DIR"),
+		RunE: func(_ *cobra.Command, args []string) error {
+			objects, err := readChecked(args[0])
+			if err != nil {
+				return err
+			}
+			return s.print(show.Note(fmt.Sprintf("%s: %d sections, no fault", args[0], len(objects))))
+		},
+	}
+}
+
+func (s *Shell) historyCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "history",
+		Short:   "List the last changes, accepted and refused",
+		Example: "  mango history",
+		Args:    exactArgs(),
+		RunE: s.withOperators(func(cmd *cobra.Command, _ []string, ops Operators) error {
+			rows, err := ops.History(cmd.Context())
+			if err != nil {
+				return err
+			}
+			return s.print(show.NewHistory(rows))
+		}),
+	}
+}
+
+// exactArgs checks that each named argument is given and nothing else.
+func exactArgs(names ...string) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		if len(args) == len(names) {
+			return nil
+		}
+		return usagef("%s: expected %s, got %d arguments", cmd.CommandPath(), strings.Join(orNone(names), " "), len(args))
+	}
+}
+
+func orNone(names []string) []string {
+	if len(names) == 0 {
+		return []string{"no arguments"}
+	}
+	return names
+}
--- /dev/null
+++ b/mango/delta/doc.go
@@ -0,0 +1,2 @@
+// Package delta compares the declarations in a directory with those in force.
+package delta
--- /dev/null
+++ b/mango/folder/doc.go
@@ -0,0 +1,2 @@
+// Package folder reads and rewrites a directory of declarations section by section and keeps the rest of its text.
+package folder
--- /dev/null
+++ b/mango/jobs/doc.go
@@ -0,0 +1,2 @@
+// Package jobs is the client of the callers' API for long jobs.
+package jobs
--- a/mango/main.go
+++ b/mango/main.go
@@ -1,4 +1,10 @@
-// Command mango is one of mangowing's programs; see README.md.
+// Command mango is the operators' command line; see docs/COMMANDS.md.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"mangowing/mango/root"
+)
+
+func main() { os.Exit(root.Main(os.Args[1:])) }
--- /dev/null
+++ b/mango/root/main.go
@@ -0,0 +1,57 @@
+package root
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/sys/unix"
+
+	"mangowing/mango/cmds"
+	"mangowing/mango/gates"
+	"mangowing/mango/jobs"
+	"mangowing/mango/opsapi"
+)
+
+// Main runs the command line on the process's own streams and returns the exit code.
+func Main(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	return Run(ctx, args, cmds.Spec{
+		In:       os.Stdin,
+		Out:      os.Stdout,
+		Err:      os.Stderr,
+		Terminal: isTerminal(os.Stdout),
+		Now:      time.Now,
+		Random:   rand.Reader,
+	})
+}
+
+// Run runs one command line with the given streams and clock, and returns the exit code.
+func Run(ctx context.Context, args []string, spec cmds.Spec) int {
+	spec.ConnectOperators = func(s gates.Spec, operator string) cmds.Operators { return opsapi.New(s, operator) }
+	spec.ConnectJobs = func(s gates.Spec) cmds.Jobs { return jobs.New(s) }
+	root := cmds.NewRoot(spec)
+	root.SetArgs(args)
+	err := root.ExecuteContext(ctx)
+	if err != nil {
+		complain(spec.Err, root, err)
+	}
+	return cmds.ExitCode(err)
+}
+
+func complain(w io.Writer, root *cobra.Command, err error) {
+	text := strings.TrimLeft(err.Error(), "\n")
+	_, _ = fmt.Fprintf(w, "%s: %s\n", root.Name(), text)
+}
+
+func isTerminal(f *os.File) bool {
+	_, err := unix.IoctlGetTermios(int(f.Fd()), unix.TCGETS)
+	return err == nil
+}
--- /dev/null
+++ b/mango/root/session_test.go
@@ -0,0 +1,258 @@
+package root
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mangowing/core/codes"
+	"mangowing/core/event"
+)
+
+const smallDeployment = `[fleet small]
+data-centres = a, b
+
+[pool p]
+vms = p-[1-4]
+min-serving = 1
+
+; the only team
+[team t]
+organisation = o
+share = 1
+limit = 4
+
+[queue q]
+pool = p
+teams = t
+
+[wave w]
+pools = p
+pace = 2
+`
+
+const smallStatus = `{"deployment":"small","gates":[
+{"name":"a-1","data-centre":"a","incarnation":"a-1.X","address":"127.0.0.1:7003","reachable":true,"ready":true,"offset":41,"digest":7,"staleness-ms":120},
+{"name":"a-2","data-centre":"a","incarnation":"a-2.X","address":"127.0.0.1:7013","reachable":true,"ready":false,"stopping":true,"offset":41,"digest":7,"staleness-ms":90},
+{"name":"b-1","data-centre":"b","incarnation":"b-1.X","address":"127.0.0.1:7023","reachable":false,"ready":false,"offset":38,"digest":6,"staleness-ms":31000}],
+"pools":[{"name":"p","min-serving":1,"serving":3,"vms":[
+{"name":"p-1","state":"serving","pool":"p","data-centre":"a","rack":"r1","running":5},
+{"name":"p-2","state":"serving","pool":"p","data-centre":"a","rack":"r1","running":1},
+{"name":"p-3","state":"serving","pool":"p","data-centre":"b","rack":"r2","running":0},
+{"name":"p-4","state":"draining","pool":"p","target":"spare","data-centre":"b","rack":"r2","running":2}]},
+{"name":"spare","min-serving":2,"serving":0,"vms":[]}],
+"teams":[{"name":"t","organisation":"o","share":3,"limit":8,"running":6,"rights-held":8,"rights-spare":2},
+{"name":"u","organisation":"o","share":1,"limit":2,"running":2,"rights-held":2,"rights-spare":0},
+{"name":"idle","organisation":"o","share":1,"limit":2,"running":0,"rights-held":0,"rights-spare":0}],
+"lease":{"holder":"a-1.X","token":17},"log":{"reachable":true,"offset":41}}`
+
+func wave(state string, done, out int, reason string) any {
+	return map[string]any{"name": "w", "state": state, "reason": reason, "total": 4, "done": done, "out": out, "budget-left": 1}
+}
+
+func anEvent(t *testing.T, text string) event.Event {
+	var e event.Event
+	assert.NilError(t, e.UnmarshalJSON([]byte(text)))
+	return e
+}
+
+var sessions = []session{
+	{
+		testName:    "apply",
+		description: "An operator checks, compares and applies a directory, changes it and applies it again.",
+		gates:       2,
+		setup:       func(d *driver) { d.deployment("vlnka") },
+		steps: func(d *driver) {
+			d.mango("validate DIR/vlnka")
+			d.mango(`apply DIR/vlnka --note "first"`)
+			d.mango("diff DIR/vlnka")
+			d.file("vlnka/open.ini", "")
+			d.mango("diff DIR/vlnka")
+			d.mango("diff DIR/vlnka --output json")
+			d.mango(`apply DIR/vlnka --note "close the price list" --output json`)
+			d.mango("apply DIR/vlnka")
+			d.mango("history")
+		},
+	},
+	{
+		testName:    "refusals",
+		description: "Clashes list every fault, a late operator is told who was first, wrong usage names what was expected.",
+		gates:       2,
+		setup:       func(d *driver) { d.file("small/all.ini", smallDeployment) },
+		steps: func(d *driver) {
+			d.mango("apply DIR/small")
+			d.file("clash/all.ini", smallDeployment+"\n[pool x]\nvms = p-2\n\n[queue r]\n\n[team u]\norganisation = o\nshare = 0\nlimit = -1\n")
+			d.mango("validate DIR/clash")
+			d.mango("apply DIR/clash")
+			d.mango("apply DIR/none")
+			d.note("Another operator's change arrives between this one's look and its change.")
+			d.fleet.refuses = map[int]codes.Code{}
+			d.file("small/all.ini", strings.Replace(smallDeployment, "limit = 4", "limit = 5", 1))
+			d.fleet.raceNextChange()
+			d.mango("apply DIR/small")
+			d.mango("key gruant t")
+			d.mango("apply")
+			d.mango("status --output xml")
+			d.mango("wave status -f")
+			d.file("mango.ini", "[operator]\ngate = 127.0.0.1:1\n")
+			d.mango("status")
+			d.file("mango.ini", "[operator]\ngates = 10.1.2.3:7002\nkey-file = "+d.path("operator.key")+"\n")
+			d.mango("status")
+			d.file("mango.ini", "")
+			d.mango("status")
+		},
+	},
+	{
+		testName:    "keys",
+		description: "A key is granted, shown once, listed by its hash, and withdrawn by a prefix of it.",
+		gates:       1,
+		setup:       func(d *driver) { d.file("small/all.ini", smallDeployment) },
+		steps: func(d *driver) {
+			d.mango("apply DIR/small")
+			d.mango(`key grant t --label "order desk"`)
+			d.mango("key grant t --key-file DIR/t.key")
+			d.mango("key grant nobody")
+			d.mango("key list")
+			d.mango("key withdraw ffff")
+			d.mango("key withdraw 5749")
+			d.mango("key list --output json")
+		},
+	},
+	{
+		testName:    "team",
+		description: "A new team answers the questionnaire, later changes an answer, and both are shown before they are written.",
+		gates:       1,
+		setup:       func(d *driver) { d.deployment("vlnka") },
+		steps: func(d *driver) {
+			d.answer("team new bakers --dir DIR/vlnka", "bakery\nquotes on quotes\n0\n2\n12\nurgent\n\n\nyes\n-\n20:30-22:00\nno\n")
+			d.answer("team new bakers --dir DIR/vlnka", "bakery\nquotes on quotes\n2\n12\nurgent\n\n\nyes\n\n20:30-22:00\nyes\n")
+			d.cat("vlnka/answers/bakers.ini")
+			d.mango("team show bakers --dir DIR/vlnka")
+			d.mango("team set bakers limit=16 freeze= --dir DIR/vlnka --yes")
+			d.mango("team set bakers limit=none --dir DIR/vlnka")
+			d.mango("team set bakres limit=1 --dir DIR/vlnka")
+			d.mango("team new bakers --dir DIR/vlnka")
+			d.mango("team new bakery --dir DIR/vlnka --answers DIR/vlnka/answers/bakers.ini")
+			d.cat("vlnka/waves.ini")
+			d.mango("validate DIR/vlnka")
+		},
+	},
+	{
+		testName:    "fleet",
+		description: "An operator looks at gates, pools, VMs, teams and a job.",
+		gates:       1,
+		setup:       func(d *driver) { d.fleet.status = smallStatus },
+		steps: func(d *driver) {
+			d.mango("status")
+			d.mango("pool")
+			d.mango("pool p")
+			d.mango("pool q")
+			d.mango("vm p-4 --output json")
+			d.file("order.json", "{}")
+			d.mango("job submit reprints DIR/order.json")
+			d.mango("job status JOB7")
+			d.mango("codes 201")
+		},
+	},
+	{
+		testName:    "waves",
+		description: "A wave is planned, started and followed, on a terminal and without one.",
+		gates:       1,
+		setup: func(d *driver) {
+			d.file("small/all.ini", smallDeployment)
+			d.fleet.status = smallStatus
+			d.fleet.waves = []any{
+				wave("running", 0, 1, ""), wave("running", 2, 2, ""), wave("paused", 2, 1, "2 VMs did not come back"),
+				wave("running", 3, 1, ""), wave("done", 4, 0, ""),
+			}
+		},
+		steps: func(d *driver) {
+			d.mango("apply DIR/small")
+			d.mango("wave plan w")
+			d.mango("wave plan v")
+			d.mango("wave start w --follow")
+			d.mango("wave pause w")
+			d.terminal = true
+			d.mango("wave resume w -f")
+			d.mango("wave status")
+			d.mango("wave cancel w")
+			d.mango("wave pause w")
+		},
+	},
+}
+
+func TestSessions(t *testing.T) {
+	for _, s := range sessions {
+		t.Run(s.testName, func(t *testing.T) {
+			t.Parallel()
+			runSession(t, s)
+		})
+	}
+}
+
+func TestTimelineIsInOneOrder(t *testing.T) {
+	runSession(t, session{
+		testName: "timeline", description: "Events of several gates stand in the order of their stamps.", gates: 1,
+		setup: func(d *driver) {
+			for _, text := range []string{
+				`{"stamp":111411200000000002,"process":"b-1","kind":"request-started","request":"R1","team":"t","vm":"p-1"}`,
+				`{"stamp":111411200000000001,"process":"a-1","kind":"request-received","request":"R1","team":"t"}`,
+				`{"stamp":111411200000000009,"process":"a-1","kind":"request-refused","request":"R2","team":"t","code":201,"detail":"limit 4"}`,
+			} {
+				d.fleet.events = append(d.fleet.events, anEvent(t, text))
+			}
+		},
+		steps: func(d *driver) {
+			d.mango("timeline --since 5m --team t")
+			d.mango("timeline --request R1 --output json")
+		},
+	})
+}
+
+func TestALostAnswerIsAskedForAgainWithTheSameID(t *testing.T) {
+	d := newDriver(t, 2)
+	d.file("small/all.ini", smallDeployment)
+	d.fleet.loses[0] = true
+	d.mango("apply DIR/small")
+	assert.Equal(t, d.last, "in force at 8 of 8 gates, slowest cz-c-2 after 12 ms\n")
+	assert.Equal(t, len(d.fleet.received), 2)
+	assert.Equal(t, d.fleet.received[0], d.fleet.received[1])
+	assert.Equal(t, len(d.fleet.folder.Publish().History()), 1)
+}
+
+func TestUnreachableGates(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		fault    func(f *fakeFleet)
+		exit     string
+		expected string
+	}{
+		{"all down", func(f *fakeFleet) { f.servers[0].Close(); f.servers[1].Close() }, "(exit code 3)", "nothing was changed"},
+		{"all lose answers", func(f *fakeFleet) { f.loses[0], f.loses[1] = true, true }, "(exit code 3)", "outcome unknown"},
+		{"log down", func(f *fakeFleet) { f.refuses[0], f.refuses[1] = codes.LogUnavailable, codes.LogUnavailable }, "(exit code 1)", "402 log-unavailable"},
+		{"one not ready", func(f *fakeFleet) { f.refuses[0] = codes.GateNotReady }, "in force", "in force at 8 of 8"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			t.Parallel()
+			d := newDriver(t, 2)
+			s.fault(d.fleet)
+			d.mango("key withdraw " + strings.Repeat("ab", 32))
+			assert.Assert(t, strings.Contains(d.transcript.String(), s.exit), d.transcript.String())
+			assert.Assert(t, strings.Contains(d.last, s.expected), d.last)
+		})
+	}
+}
+
+func TestNoKeyLeavesTheOperatorsMachine(t *testing.T) {
+	d := newDriver(t, 1)
+	d.file("small/all.ini", smallDeployment)
+	d.mango("apply DIR/small")
+	d.mango("key grant t --output json")
+	const key = "YWFhYWFhYWFhYWFhYWFhYWFhYWFhYWFhYWFhYWFhYWE"
+	assert.Assert(t, strings.Contains(d.last, key), d.last)
+	for _, body := range d.fleet.received {
+		assert.Assert(t, !strings.Contains(body, key), body)
+	}
+}
--- /dev/null
+++ b/mango/show/declarations.go
@@ -0,0 +1,164 @@
+package show
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"mangowing/core/codes"
+	"mangowing/core/record"
+	"mangowing/core/survey"
+	"mangowing/mango/delta"
+	"mangowing/mango/opsapi"
+)
+
+// Applied is a change that the gates took in.
+type Applied struct {
+	result opsapi.Result
+}
+
+// NewApplied returns the view of a gate's answer to a write.
+func NewApplied(r opsapi.Result) Applied { return Applied{r} }
+
+func (a Applied) value() any { return a.result }
+
+func (a Applied) text() string {
+	slowest, after := a.result.Slowest()
+	line := fmt.Sprintf("in force at %d of %d gates", a.result.InForce(), a.result.Gates())
+	if slowest != "" {
+		line += fmt.Sprintf(", slowest %s after %d ms", slowest, after/time.Millisecond)
+	}
+	return line + "\n"
+}
+
+// Differences is what a directory declares differently from what is in force.
+type Differences struct {
+	list []delta.Difference
+}
+
+// NewDifferences returns the view of differences.
+func NewDifferences(list []delta.Difference) Differences { return Differences{list} }
+
+type differenceWire struct {
+	Kind    string        `json:"change"`
+	Section string        `json:"section"`
+	Object  record.Object `json:"object"`
+}
+
+func (d Differences) value() any {
+	out := []differenceWire{}
+	for _, difference := range d.list {
+		out = append(out, differenceWire{difference.Kind(), difference.Section(), difference.Change()})
+	}
+	return struct {
+		Differences []differenceWire `json:"differences"`
+	}{out}
+}
+
+func (d Differences) text() string {
+	if len(d.list) == 0 {
+		return "no differences\n"
+	}
+	var b strings.Builder
+	for _, difference := range d.list {
+		mark := map[string]string{"added": "+", "removed": "-", "changed": "~"}[difference.Kind()]
+		fmt.Fprintf(&b, "%s [%s]\n", mark, difference.Section())
+		for _, line := range difference.Lines() {
+			sign := "-"
+			if line.Gained() {
+				sign = "+"
+			}
+			fmt.Fprintf(&b, "    %s %s\n", sign, line.Text())
+		}
+	}
+	return b.String()
+}
+
+// History is the list of changes.
+type History struct {
+	rows []opsapi.HistoryRow
+}
+
+// NewHistory returns the view of the changes.
+func NewHistory(rows []opsapi.HistoryRow) History { return History{rows} }
+
+func (h History) value() any {
+	return struct {
+		Changes []opsapi.HistoryRow `json:"changes"`
+	}{list(h.rows)}
+}
+
+func (h History) text() string {
+	t := newTable("REVISION", "TIME (UTC)", "BY", "SECTIONS", "RESULT", "NOTE")
+	for _, row := range h.rows {
+		t.row(number(row.Revision()), wallTime(row.AtMs()), row.By(), number(row.Objects()), row.Code().String(), row.Note())
+	}
+	return t.String()
+}
+
+// Answers is one team's answers to the questionnaire.
+type Answers struct {
+	answers survey.Answers
+}
+
+// NewAnswers returns the view of a team's answers.
+func NewAnswers(a survey.Answers) Answers { return Answers{a} }
+
+type answerWire struct {
+	Question string `json:"question"`
+	Answer   string `json:"answer"`
+}
+
+func (a Answers) value() any {
+	out := []answerWire{}
+	for _, q := range survey.Questions() {
+		out = append(out, answerWire{q.Key(), a.answers.Value(q.Key())})
+	}
+	return struct {
+		Team    string       `json:"team"`
+		Answers []answerWire `json:"answers"`
+	}{a.answers.Team(), out}
+}
+
+func (a Answers) text() string {
+	t := newTable("QUESTION", "ANSWER", "PROMPT")
+	for _, q := range survey.Questions() {
+		t.row(q.Key(), a.answers.Value(q.Key()), q.Prompt())
+	}
+	return "team " + a.answers.Team() + "\n" + t.String()
+}
+
+// Codes is the table of result codes.
+type Codes struct {
+	rows []codes.Entry
+}
+
+// NewCodes returns the view of rows of the code table.
+func NewCodes(rows []codes.Entry) Codes { return Codes{rows} }
+
+type codeWire struct {
+	Code     codes.Code `json:"code"`
+	Name     string     `json:"name"`
+	Status   int        `json:"http-status"`
+	Outcome  string     `json:"outcome"`
+	Caller   string     `json:"caller"`
+	Operator string     `json:"operator"`
+}
+
+func (c Codes) value() any {
+	out := []codeWire{}
+	for _, e := range c.rows {
+		out = append(out, codeWire{e.Code(), e.Name(), e.Status(), e.Outcome().String(), e.Caller(), e.Operator()})
+	}
+	return struct {
+		Codes []codeWire `json:"codes"`
+	}{out}
+}
+
+func (c Codes) text() string {
+	t := newTable("CODE", "NAME", "HTTP", "OUTCOME", "CALLER", "OPERATOR")
+	for _, e := range c.rows {
+		t.row(number(int(e.Code())), e.Name(), number(e.Status()), e.Outcome().String(), e.Caller(), e.Operator())
+	}
+	return t.String()
+}
--- /dev/null
+++ b/mango/show/fleet.go
@@ -0,0 +1,149 @@
+package show
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"mangowing/mango/opsapi"
+)
+
+// Status is the whole fleet.
+type Status struct {
+	status opsapi.Status
+}
+
+// NewStatus returns the view of the fleet.
+func NewStatus(s opsapi.Status) Status { return Status{s} }
+
+func (s Status) value() any { return s.status }
+
+func (s Status) text() string {
+	sections := []string{s.heading(), s.gates(), Pools{s.status.Pools()}.text(), s.teams()}
+	return strings.Join(sections, "\n")
+}
+
+func (s Status) heading() string {
+	reachable, offset := s.status.Log()
+	holder, token := s.status.Lease()
+	out := fmt.Sprintf("deployment  %s\nlog         offset %d, ", s.status.Deployment(), offset)
+	if reachable {
+		out += "reachable\n"
+	} else {
+		out += "NOT reachable\n"
+	}
+	if holder == "" {
+		return out + "planner     none\n"
+	}
+	return out + fmt.Sprintf("planner     %s, token %d\n", holder, token)
+}
+
+func (s Status) gates() string {
+	_, newest := s.status.Log()
+	for _, g := range s.status.Gates() {
+		newest = max(newest, g.Offset())
+	}
+	t := newTable("GATE", "DATA CENTRE", "ADDRESS", "STATE", "OFFSET", "BEHIND", "STALENESS")
+	for _, g := range s.status.Gates() {
+		t.row(g.Name(), g.DataCentre(), g.Address(), g.State(), number(g.Offset()), number(newest-g.Offset()),
+			g.Staleness().Round(time.Millisecond).String())
+	}
+	return t.String()
+}
+
+func (s Status) teams() string {
+	shares, running := 0, 0
+	for _, team := range s.status.Teams() {
+		running += team.Running()
+		if team.Running() > 0 {
+			shares += team.Share()
+		}
+	}
+	t := newTable("TEAM", "ORGANISATION", "SHARE", "OF ACTIVE", "OF RUNNING", "RUNNING", "LIMIT", "RIGHTS HELD", "SPARE")
+	for _, team := range s.status.Teams() {
+		held, spare := team.Rights()
+		entitled, got := "", ""
+		if team.Running() > 0 {
+			entitled, got = percent(team.Share(), shares), percent(team.Running(), running)
+		}
+		t.row(team.Name(), team.Organisation(), number(team.Share()), entitled, got, number(team.Running()),
+			number(team.Limit()), number(held), number(spare))
+	}
+	return t.String()
+}
+
+func percent(part, whole int) string {
+	if whole == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%.1f%%", float64(part)/float64(whole)*100)
+}
+
+// Pools is the list of pools.
+type Pools struct {
+	rows []opsapi.PoolRow
+}
+
+// NewPools returns the view of the pools.
+func NewPools(rows []opsapi.PoolRow) Pools { return Pools{rows} }
+
+func (p Pools) value() any {
+	return struct {
+		Pools []opsapi.PoolRow `json:"pools"`
+	}{list(p.rows)}
+}
+
+func (p Pools) text() string {
+	t := newTable("POOL", "VMS", "SERVING", "MIN-SERVING", "OUT", "RUNNING")
+	for _, row := range p.rows {
+		running := 0
+		for _, vm := range row.VMs() {
+			running += vm.Running()
+		}
+		serving := number(row.Serving())
+		if row.Serving() < row.MinServing() {
+			serving += " (below the minimum)"
+		}
+		t.row(row.Name(), number(len(row.VMs())), serving, number(row.MinServing()), out(row), number(running))
+	}
+	return t.String()
+}
+
+// out returns how many VMs of the pool are in each state but serving.
+func out(row opsapi.PoolRow) string {
+	var parts []string
+	for _, state := range []string{"draining", "moving", "rebooting", "quarantined", "leaving"} {
+		n := 0
+		for _, vm := range row.VMs() {
+			if vm.State() == state {
+				n++
+			}
+		}
+		if n > 0 {
+			parts = append(parts, fmt.Sprintf("%d %s", n, state))
+		}
+	}
+	return strings.Join(parts, ", ")
+}
+
+// VMs is a list of VMs.
+type VMs struct {
+	rows []opsapi.VMRow
+}
+
+// NewVMs returns the view of VMs.
+func NewVMs(rows []opsapi.VMRow) VMs { return VMs{rows} }
+
+func (v VMs) value() any {
+	return struct {
+		VMs []opsapi.VMRow `json:"vms"`
+	}{list(v.rows)}
+}
+
+func (v VMs) text() string {
+	t := newTable("VM", "STATE", "POOL", "TARGET", "DATA CENTRE", "RACK", "RUNNING")
+	for _, row := range v.rows {
+		t.row(row.Name(), row.State(), row.Pool(), row.Target(), row.DataCentre(), row.Rack(), number(row.Running()))
+	}
+	return t.String()
+}
--- /dev/null
+++ b/mango/show/printer.go
@@ -0,0 +1,134 @@
+package show
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+const (
+	columnGap = 2
+	timeShape = "2006-01-02 15:04:05"
+)
+
+// View is something that can be printed; its kinds are the types of this package only.
+type View interface {
+	value() any
+}
+
+// Printer prints views.
+type Printer struct {
+	out  io.Writer
+	json bool
+}
+
+// NewPrinter returns a printer of tables, or of JSON with one value for each view.
+func NewPrinter(out io.Writer, asJSON bool) Printer {
+	return Printer{out, asJSON}
+}
+
+// Print prints one view.
+func (p Printer) Print(v View) error {
+	if p.json {
+		encoder := json.NewEncoder(p.out)
+		encoder.SetIndent("", "  ")
+		encoder.SetEscapeHTML(false)
+		return encoder.Encode(v.value())
+	}
+	_, err := io.WriteString(p.out, text(v))
+	return err
+}
+
+func text(v View) string {
+	switch v := v.(type) {
+	case Applied:
+		return v.text()
+	case Differences:
+		return v.text()
+	case History:
+		return v.text()
+	case Grant:
+		return v.text()
+	case Keys:
+		return v.text()
+	case Status:
+		return v.text()
+	case Pools:
+		return v.text()
+	case VMs:
+		return v.text()
+	case Waves:
+		return v.text()
+	case WavePlan:
+		return v.text()
+	case Events:
+		return v.text()
+	case Job:
+		return v.text()
+	case Answers:
+		return v.text()
+	case Codes:
+		return v.text()
+	case Note:
+		return string(v) + "\n"
+	default:
+		return fmt.Sprintln(v)
+	}
+}
+
+// Note is one line for people.
+type Note string
+
+func (n Note) value() any {
+	return struct {
+		Note string `json:"note"`
+	}{string(n)}
+}
+
+type table struct {
+	out strings.Builder
+}
+
+func newTable(headings ...string) *table {
+	t := &table{}
+	t.row(headings...)
+	return t
+}
+
+func (t *table) row(cells ...string) {
+	for i, cell := range cells {
+		if cell == "" {
+			cells[i] = "-"
+		}
+	}
+	t.out.WriteString(strings.Join(cells, "\t") + "\n")
+}
+
+func (t *table) String() string {
+	var aligned strings.Builder
+	w := tabwriter.NewWriter(&aligned, 0, 0, columnGap, ' ', 0)
+	_, _ = io.WriteString(w, t.out.String())
+	_ = w.Flush()
+	return aligned.String()
+}
+
+func wallTime(ms int64) string { return time.UnixMilli(ms).UTC().Format(timeShape) }
+
+func number[N int | uint64](n N) string { return fmt.Sprint(n) }
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+func list[T any](items []T) []T {
+	if items == nil {
+		return []T{}
+	}
+	return items
+}
--- /dev/null
+++ b/mango/show/waves.go
@@ -0,0 +1,99 @@
+package show
+
+import (
+	"fmt"
+	"strings"
+
+	"mangowing/mango/opsapi"
+)
+
+const barWidth = 30
+
+// Waves is the progress of waves.
+type Waves struct {
+	rows []opsapi.WaveRow
+}
+
+// NewWaves returns the view of waves.
+func NewWaves(rows []opsapi.WaveRow) Waves { return Waves{rows} }
+
+func (w Waves) value() any {
+	return struct {
+		Waves []opsapi.WaveRow `json:"waves"`
+	}{list(w.rows)}
+}
+
+func (w Waves) text() string {
+	t := newTable("WAVE", "STATE", "DONE", "OUT", "TOTAL", "BUDGET LEFT", "REASON")
+	for _, row := range w.rows {
+		t.row(row.Name(), row.State(), number(row.Done()), number(row.Out()), number(row.Total()), number(row.BudgetLeft()), row.Reason())
+	}
+	return t.String()
+}
+
+// ProgressLine returns a wave's progress in one line without a line break.
+func ProgressLine(row opsapi.WaveRow) string {
+	line := fmt.Sprintf("%s %s: %d of %d done, %d out, budget left %d", row.Name(), row.State(), row.Done(), row.Total(), row.Out(), row.BudgetLeft())
+	if row.Reason() != "" {
+		line += " (" + row.Reason() + ")"
+	}
+	return line
+}
+
+// ProgressBar returns a wave's progress for a terminal: a bar, then the progress line.
+func ProgressBar(row opsapi.WaveRow) string {
+	done, out := 0, 0
+	if row.Total() > 0 {
+		done = row.Done() * barWidth / row.Total()
+		out = min((row.Out()*barWidth+row.Total()-1)/row.Total(), barWidth-done)
+	}
+	bar := strings.Repeat("#", done) + strings.Repeat("-", out) + strings.Repeat(" ", barWidth-done-out)
+	return "[" + bar + "] " + ProgressLine(row)
+}
+
+// WavePlan is what a wave may do as the fleet stands now.
+type WavePlan struct {
+	wave   string
+	frozen bool
+	rows   []PlanRow
+}
+
+// PlanRow is what a wave may do in one pool.
+type PlanRow struct {
+	Pool       string `json:"pool"`        // the pool's name
+	VMs        int    `json:"vms"`         // VMs that belong to it
+	Serving    int    `json:"serving"`     // VMs that serve now
+	MustServe  int    `json:"must-serve"`  // VMs that the wave leaves serving
+	MayGoOut   int    `json:"may-go-out"`  // VMs that may go out at once, by budget and pace
+	Racks      int    `json:"racks"`       // failure domains, of which one is out at a time
+	LeastSteps int    `json:"least-steps"` // groups of VMs that have to go out one after the other at least
+}
+
+// NewWavePlan returns the view of a plan; frozen tells that a freeze window is open now.
+func NewWavePlan(wave string, frozen bool, rows []PlanRow) WavePlan {
+	return WavePlan{wave, frozen, rows}
+}
+
+func (w WavePlan) value() any {
+	return struct {
+		Wave   string    `json:"wave"`
+		Frozen bool      `json:"frozen-now"`
+		Pools  []PlanRow `json:"pools"`
+	}{w.wave, w.frozen, list(w.rows)}
+}
+
+func (w WavePlan) text() string {
+	t := newTable("POOL", "VMS", "SERVING", "MUST SERVE", "MAY GO OUT", "RACKS", "LEAST STEPS")
+	blocked := ""
+	for _, row := range w.rows {
+		t.row(row.Pool, number(row.VMs), number(row.Serving), number(row.MustServe), number(row.MayGoOut), number(row.Racks), number(row.LeastSteps))
+		if row.MayGoOut == 0 && row.VMs > 0 {
+			blocked += fmt.Sprintf("pool %s has no VM to spare: the wave waits there\n", row.Pool)
+		}
+	}
+	out := "wave " + w.wave + "\n" + t.String() + blocked
+	if w.frozen {
+		out += "a freeze window is open now: the wave would start nothing yet\n"
+	}
+	return out
+}
