--- a/mango/root/session_test.go
+++ b/mango/root/session_test.go
@@ -29,7 +29,9 @@
 
 [wave w]
 pools = p
+min-serving = 2
 pace = 2
+freeze = 22:00-23:00
 `
 
 const smallStatus = `{"deployment":"small","gates":[
