--- a/mango/cmds/key.go
+++ b/mango/cmds/key.go
@@ -121,11 +121,40 @@
 			if err != nil {
 				return err
 			}
-			return s.printResult(ops.WithdrawKey(cmd.Context(), hash))
+			result, err := ops.WithdrawKey(cmd.Context(), hash)
+			return s.printResult(result, stoppedAlready(cmd.Context(), ops, hash, err))
 		}),
 	}
 }
 
+// withdrawalError is a withdrawal that gates obey although the platform's log has not taken it yet.
+type withdrawalError struct {
+	cause error
+}
+
+func (w *withdrawalError) Error() string {
+	return w.cause.Error() + "\n  the gates that can be reached refuse the key already; withdraw it again when the log is back"
+}
+
+func (w *withdrawalError) Unwrap() error { return w.cause }
+
+// stoppedAlready adds to an unknown outcome whether the key was stopped at once.
+func stoppedAlready(ctx context.Context, keys keyring, hash string, err error) error {
+	if ExitCode(err) != ExitUnknown {
+		return err
+	}
+	rows, listErr := keys.Keys(ctx)
+	if listErr != nil {
+		return err
+	}
+	for _, row := range rows {
+		if row.Hash() == hash && row.Withdrawn() {
+			return &withdrawalError{err}
+		}
+	}
+	return err
+}
+
 // fullHash returns the one key's hash that begins with the prefix; a whole hash needs no list.
 func fullHash(ctx context.Context, keys keyring, prefix string) (string, error) {
 	if _, err := hex.DecodeString(prefix); err == nil && len(prefix) == hashDigits {
--- a/mango/opsapi/status.go
+++ b/mango/opsapi/status.go
@@ -122,6 +122,7 @@
 	Name       string  `json:"name"`
 	MinServing int     `json:"min-serving"`
 	Serving    int     `json:"serving"`
+	Waiting    int     `json:"waiting"`
 	VMs        []VMRow `json:"vms"`
 }
 
@@ -134,6 +135,9 @@
 // Serving returns how many VMs serve.
 func (p PoolRow) Serving() int { return p.w.Serving }
 
+// Waiting returns how many requests wait for the pool.
+func (p PoolRow) Waiting() int { return p.w.Waiting }
+
 // VMs returns the VMs that belong to the pool.
 func (p PoolRow) VMs() []VMRow { return p.w.VMs }
 
@@ -196,6 +200,7 @@
 	Share        int    `json:"share"`
 	Limit        int    `json:"limit"`
 	Running      int    `json:"running"`
+	Waiting      int    `json:"waiting"`
 	RightsHeld   int    `json:"rights-held"`
 	RightsSpare  int    `json:"rights-spare"`
 }
@@ -215,6 +220,9 @@
 // Running returns how much the team has running.
 func (t TeamRow) Running() int { return t.w.Running }
 
+// Waiting returns how many of the team's requests wait.
+func (t TeamRow) Waiting() int { return t.w.Waiting }
+
 // Rights returns how many rights of the limit the gates hold, and how many of those are spare.
 func (t TeamRow) Rights() (held, spare int) { return t.w.RightsHeld, t.w.RightsSpare }
 
--- a/mango/show/fleet.go
+++ b/mango/show/fleet.go
@@ -45,12 +45,19 @@
 	}
 	t := newTable("GATE", "DATA CENTRE", "ADDRESS", "STATE", "OFFSET", "BEHIND", "STALENESS")
 	for _, g := range s.status.Gates() {
-		t.row(g.Name(), g.DataCentre(), g.Address(), g.State(), number(g.Offset()), number(newest-g.Offset()),
-			g.Staleness().Round(time.Millisecond).String())
+		t.row(g.Name(), g.DataCentre(), g.Address(), g.State(), number(g.Offset()), number(newest-g.Offset()), staleness(g))
 	}
 	return t.String()
 }
 
+// staleness of a gate that can't be reached is not known, only what it was.
+func staleness(g opsapi.GateRow) string {
+	if g.State() == "unreachable" {
+		return ""
+	}
+	return g.Staleness().Round(time.Millisecond).String()
+}
+
 func (s Status) teams() string {
 	shares, running := 0, 0
 	for _, team := range s.status.Teams() {
@@ -59,7 +66,7 @@
 			shares += team.Share()
 		}
 	}
-	t := newTable("TEAM", "ORGANISATION", "SHARE", "OF ACTIVE", "OF RUNNING", "RUNNING", "LIMIT", "RIGHTS HELD", "SPARE")
+	t := newTable("TEAM", "ORGANISATION", "SHARE", "OF ACTIVE", "OF RUNNING", "RUNNING", "WAITING", "LIMIT", "RIGHTS HELD", "SPARE")
 	for _, team := range s.status.Teams() {
 		held, spare := team.Rights()
 		entitled, got := "", ""
@@ -67,7 +74,7 @@
 			entitled, got = percent(team.Share(), shares), percent(team.Running(), running)
 		}
 		t.row(team.Name(), team.Organisation(), number(team.Share()), entitled, got, number(team.Running()),
-			number(team.Limit()), number(held), number(spare))
+			number(team.Waiting()), number(team.Limit()), number(held), number(spare))
 	}
 	return t.String()
 }
@@ -94,7 +101,7 @@
 }
 
 func (p Pools) text() string {
-	t := newTable("POOL", "VMS", "SERVING", "MIN-SERVING", "OUT", "RUNNING")
+	t := newTable("POOL", "VMS", "SERVING", "MIN-SERVING", "OUT", "RUNNING", "WAITING")
 	for _, row := range p.rows {
 		running := 0
 		for _, vm := range row.VMs() {
@@ -104,7 +111,7 @@
 		if row.Serving() < row.MinServing() {
 			serving += " (below the minimum)"
 		}
-		t.row(row.Name(), number(len(row.VMs())), serving, number(row.MinServing()), out(row), number(running))
+		t.row(row.Name(), number(len(row.VMs())), serving, number(row.MinServing()), out(row), number(running), number(row.Waiting()))
 	}
 	return t.String()
 }
