--- a/mango/root/session_test.go
+++ b/mango/root/session_test.go
@@ -37,6 +37,7 @@
 const smallStatus = `{"deployment":"small","gates":[
 {"name":"a-1","data-centre":"a","incarnation":"a-1.X","address":"127.0.0.1:7003","reachable":true,"ready":true,"offset":41,"digest":7,"staleness-ms":120},
 {"name":"a-2","data-centre":"a","incarnation":"a-2.X","address":"127.0.0.1:7013","reachable":true,"ready":false,"stopping":true,"offset":41,"digest":7,"staleness-ms":90},
+{"name":"a-3","data-centre":"a","incarnation":"a-3.X","address":"127.0.0.1:7033","reachable":true,"ready":false,"offset":0,"digest":"0","staleness-ms":1099511627776},
 {"name":"b-1","data-centre":"b","incarnation":"b-1.X","address":"127.0.0.1:7023","reachable":false,"ready":false,"offset":38,"digest":6,"staleness-ms":31000}],
 "pools":[{"name":"p","min-serving":1,"serving":3,"waiting":9,"vms":[
 {"name":"p-1","state":"serving","pool":"p","data-centre":"a","rack":"r1","running":5},
--- a/mango/show/fleet.go
+++ b/mango/show/fleet.go
@@ -8,6 +8,9 @@
 	"mangowing/mango/opsapi"
 )
 
+// A gate that has not seen the log's end since its start tells a staleness above this.
+const longestStaleness = 365 * 24 * time.Hour
+
 // Status is the whole fleet.
 type Status struct {
 	status opsapi.Status
@@ -55,6 +58,9 @@
 	if g.State() == "unreachable" {
 		return ""
 	}
+	if g.Staleness() > longestStaleness {
+		return "never fresh"
+	}
 	return g.Staleness().Round(time.Millisecond).String()
 }
 
