--- a/mango/root/session_test.go
+++ b/mango/root/session_test.go
@@ -141,6 +141,25 @@
 			d.mango("validate DIR/vlnka")
 		},
 	},
+	{
+		testName:    "hessian",
+		description: "Hessian Loop brings its declarations into force, then has reconciliation end earlier and widens the freeze.",
+		gates:       3,
+		setup:       func(d *driver) { d.deployment("hessian") },
+		steps: func(d *driver) {
+			d.mango(`apply DIR/hessian --note "first"`)
+			d.mango("key grant freight --key-file DIR/freight.key")
+			d.mango("team set reconciliation latest-finish=17:30 --dir DIR/hessian --yes")
+			d.mango(`team set freight "freeze=15:00-21:00" --dir DIR/hessian --yes`)
+			d.mango("diff DIR/hessian")
+			d.mango(`apply DIR/hessian --note "earlier dispatch"`)
+			d.mango("team set photos work= --dir DIR/hessian --yes")
+			d.mango(`team set photos "work=inspection-photos on admin" --dir DIR/hessian --yes`)
+			d.mango(`apply DIR/hessian --note "photos to admin"`)
+			d.mango("key withdraw 57491b")
+			d.mango("history")
+		},
+	},
 	{
 		testName:    "fleet",
 		description: "An operator looks at gates, pools, VMs, teams and a job.",
