--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets for people and CI. `make help` lists them.
-MODULES := core gate mango stand
+MODULES := core gate mango platform stand
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 BIN := build
 DEPLOYMENT ?= vlnka
--- a/core/codes/code.go
+++ b/core/codes/code.go
@@ -55,6 +55,12 @@
 	JobSetAside        Code = 600
 	JobCancelled       Code = 601
 	JobLate            Code = 602
+	JobUnknown         Code = 603
+	JobPoolFull        Code = 604
+	JobStoreAway       Code = 605
+	JobUnsettled       Code = 606
+	ConfigStale        Code = 607
+	NotOwner           Code = 608
 )
 
 // Entry is one row of the code table.
@@ -132,6 +138,12 @@
 	{JobSetAside, "job-set-aside", http.StatusUnprocessableEntity, Ran, "mend the job: it failed on several healthy workers", "nothing"},
 	{JobCancelled, "job-cancelled", http.StatusGone, NotRun, "nothing", "nothing"},
 	{JobLate, "job-late", http.StatusServiceUnavailable, NotRun, "allow a later finish", "add VMs to the pool"},
+	{JobUnknown, "job-unknown", http.StatusGone, NotRun, "check the job's id", "nothing"},
+	{JobPoolFull, "job-pool-full", http.StatusTooManyRequests, NotRun, "hand the job in again after the time in Retry-After", "add VMs to the pool, or let machines move there"},
+	{JobStoreAway, "job-store-away", http.StatusServiceUnavailable, NotRun, "hand the job in again after the time in Retry-After", "the platform's log turns the gates away"},
+	{JobUnsettled, "job-unsettled", http.StatusGatewayTimeout, Unknown, "hand the job in again with the same id", "the platform's log does not answer"},
+	{ConfigStale, "config-stale", http.StatusServiceUnavailable, NotRun, "retry through the balancer after the time in Retry-After", "the gate reaches neither the platform nor another gate"},
+	{NotOwner, "not-owner", http.StatusServiceUnavailable, NotRun, "retry through the balancer", "the scheduling gate changes; see the owner in the status"},
 }
 
 var byCode = indexTable()
--- /dev/null
+++ b/core/sched/counters.go
@@ -0,0 +1,20 @@
+package sched
+
+// Counters counts what the machine did since it was made.
+type Counters struct {
+	started       uint64
+	refusedStarts uint64
+	ended         [Lost + 1]uint64
+}
+
+// Started returns how many attempts were ordered.
+func (c Counters) Started() uint64 { return c.started }
+
+// RefusedStarts returns how many attempts workers refused to start.
+func (c Counters) RefusedStarts() uint64 { return c.refusedStarts }
+
+// Ended returns how many attempts ended in that way.
+func (c Counters) Ended(e Ending) uint64 { return c.ended[e] }
+
+// Counters returns what the machine did since it was made.
+func (m *Machine) Counters() Counters { return m.counters }
--- /dev/null
+++ b/core/sched/decide.go
@@ -0,0 +1,106 @@
+package sched
+
+import (
+	"time"
+)
+
+// replanPause is the time after which waiting tasks are looked at again though nothing was heard.
+const replanPause = 200 * time.Millisecond
+
+// Decision is something the machine concluded, for the log.
+type Decision struct {
+	At     time.Time
+	What   string
+	Task   string
+	Worker string
+	Why    string
+}
+
+func (m *Machine) decide(now time.Time, what, task, worker, why string) {
+	m.decisions = append(m.decisions, Decision{now, what, task, worker, why})
+}
+
+// Decisions returns what was concluded since the last call.
+func (m *Machine) Decisions() []Decision {
+	d := m.decisions
+	m.decisions = nil
+	return d
+}
+
+// Decide does all that is due.
+func (m *Machine) Decide(now time.Time) {
+	m.lapse(now)
+	m.beginDueRounds(now)
+	m.repeatStops(now)
+	m.planMachines(now)
+	for _, p := range m.pools {
+		m.place(now, p)
+	}
+	m.setPaces(now)
+	m.look(now)
+	m.forget(now)
+}
+
+// lapse ends the attempts on workers that were silent until all leases there surely ran out.
+func (m *Machine) lapse(now time.Time) {
+	for _, w := range m.workers {
+		if w.silent == 0 && w.verified && w.listed || now.Before(w.lapse) {
+			continue
+		}
+		if len(w.runs) > 0 && (w.silent > 0 || !w.verified) {
+			m.decide(now, "leases-lapsed", "", w.id, "")
+			for _, r := range runsOf(w) {
+				m.endRun(now, r, Lapsed, "")
+			}
+		}
+		m.dropUnused(w)
+	}
+}
+
+func (m *Machine) beginDueRounds(now time.Time) {
+	for _, j := range m.jobs {
+		if !j.spec.Timed() || !j.live() {
+			continue
+		}
+		for len(j.rounds) < j.spec.Rounds() && !now.Before(j.spec.Due(len(j.rounds))) {
+			m.beginRound(j)
+		}
+	}
+}
+
+func (m *Machine) repeatStops(now time.Time) {
+	for _, w := range m.workers {
+		if w.silent > 0 {
+			continue
+		}
+		for _, r := range w.runs {
+			if r.stopping && now.Sub(r.stopSent) >= stopRepeat {
+				m.stopRun(now, r)
+			}
+		}
+	}
+}
+
+// look asks the workers whose turn it is what they run, and renews it.
+func (m *Machine) look(now time.Time) {
+	for _, w := range m.workers {
+		if w.holding || now.Before(w.nextHold) || !w.listed && len(w.runs) == 0 {
+			continue
+		}
+		order := HoldWorker{Worker: w.id, Seen: w.stored}
+		switch {
+		case !w.verified || w.silent > 0:
+		case len(w.runs) == 0:
+			if now.Sub(w.heard) < m.options.IdleLook && w.seen == w.stored {
+				continue
+			}
+		default:
+			order.Lease, order.Wait = m.options.Lease, m.options.Renewal
+		}
+		if order.Lease > 0 {
+			m.granted(w, now)
+		}
+		w.holding = true
+		m.orderNow(order)
+	}
+}
--- /dev/null
+++ b/core/sched/list.go
@@ -0,0 +1,55 @@
+package sched
+
+import (
+	"time"
+)
+
+// ListWorkers notes the workers that the platform lists; those that are not among them have left or lost touch.
+func (m *Machine) ListWorkers(now time.Time, entries map[string]WorkerEntry) {
+	for id, e := range entries {
+		m.listWorker(now, id, e)
+	}
+	for id, w := range m.workers {
+		if _, listed := entries[id]; !listed && w.listed {
+			m.unlist(now, w)
+		}
+	}
+}
+
+func (m *Machine) listWorker(now time.Time, id string, e WorkerEntry) {
+	w := m.workerOf(id)
+	if !w.listed {
+		m.decide(now, "worker-listed", "", id, e.Pool)
+		w.listed, w.nextHold = true, now
+		if w.lapse.IsZero() && len(w.runs) > 0 {
+			w.lapse = now.Add(m.options.lapseAfter())
+		}
+		m.wake(e.Pool)
+	}
+	if e.Born != 0 && w.born != 0 && e.Born > w.born {
+		m.reborn(now, w, e.Born)
+		w.verified, w.nextHold = false, now
+	}
+	if w.born == 0 {
+		w.born = e.Born
+	}
+	if e.Draining && !w.entry.Draining {
+		m.decide(now, "worker-drains", "", id, e.Remaining.String())
+		w.drainEnd = now.Add(e.Remaining)
+	}
+	w.entry = e
+}
+
+// unlist notes that a worker has left the list. What runs there may go on, if the worker only lost touch with the
+// platform; it is asked until its leases have lapsed.
+func (m *Machine) unlist(now time.Time, w *worker) {
+	m.decide(now, "worker-unlisted", "", w.id, "")
+	w.listed = false
+	m.dropUnused(w)
+}
+
+// Knows tells whether the machine still deals with the worker.
+func (m *Machine) Knows(id string) bool {
+	_, found := m.workers[id]
+	return found
+}
--- /dev/null
+++ b/core/sched/machine.go
@@ -0,0 +1,233 @@
+package sched
+
+import (
+	"time"
+
+	"mangowing/core/setup"
+)
+
+// Machine is the scheduler's state.
+type Machine struct {
+	options Options
+	cfg     *setup.Config
+	begun   time.Time
+	fenced  bool
+
+	jobs      map[string]*job
+	early     map[string]bool // cancelled before the job itself arrived
+	workers   map[string]*worker
+	teams     map[string]*team
+	pools     map[string]*pool
+	inbox     int64
+	finished  []*job // in the order in which they ended
+	machines  map[string]*machine
+	waves     map[int64]*wave
+	moves     movePlan
+	snapshot  bool // records of a snapshot that is not whole are being replayed
+	counters  Counters
+	out       Batch
+	now       []Order
+	touched   map[*job]bool // jobs whose state changed since the last Take
+	saw       map[*worker]bool
+	decisions []Decision
+}
+
+// team counts what runs for an organisation.
+type team struct {
+	name string
+	used setup.Resources
+}
+
+// pool holds the steps that wait for workers of a pool.
+type pool struct {
+	name    string
+	waiting map[*step]bool
+	dirty   bool
+	running map[string]float64 // cores at work by team
+}
+
+// Batch is what came out of the machine since the last Take.
+type Batch struct {
+	Records []Record
+	After   []Order // to be given once the records are stored
+	shows   []shownJob
+	seen    []seenWorker
+}
+
+type shownJob struct {
+	job   *job
+	state State
+}
+
+type seenWorker struct {
+	worker *worker
+	born   int64
+	number int64
+}
+
+// Empty tells whether the batch changes nothing that is stored or shown.
+func (b *Batch) Empty() bool {
+	return len(b.Records) == 0 && len(b.After) == 0 && len(b.shows) == 0 && len(b.seen) == 0
+}
+
+// New returns a machine without jobs or workers.
+func New(options Options) *Machine {
+	return &Machine{
+		options: options.withDefaults(),
+		cfg:     setup.New(0, nil, nil, nil, setup.Limits{}),
+		jobs:    map[string]*job{}, early: map[string]bool{}, workers: map[string]*worker{},
+		teams: map[string]*team{}, pools: map[string]*pool{}, machines: map[string]*machine{},
+		waves: map[int64]*wave{}, touched: map[*job]bool{}, saw: map[*worker]bool{},
+	}
+}
+
+// Begin starts the ownership: all workers are asked what they run before anything else is ordered there. The owner
+// before may go on renewing what runs for the time given.
+func (m *Machine) Begin(now time.Time, renewed time.Duration) {
+	m.begun = now
+	m.out = Batch{}
+	clear(m.touched)
+	for _, j := range m.jobs {
+		j.stored, j.shown = true, j.state()
+		if j.outcome.Final() || j.cancelled {
+			j.ended = now
+			m.finished = append(m.finished, j)
+			continue
+		}
+		for _, r := range j.rounds {
+			for _, s := range r.steps {
+				m.prepare(s, now)
+			}
+		}
+	}
+	for _, w := range m.workers {
+		w.verified, w.nextHold = false, now
+		w.lapse = now.Add(renewed + m.options.lapseAfter())
+	}
+}
+
+// Configure puts a configuration in force.
+func (m *Machine) Configure(_ time.Time, cfg *setup.Config) {
+	m.cfg = cfg
+	m.wakeAll()
+}
+
+// Fenced tells whether a worker or machine was already called under a higher fencing token.
+func (m *Machine) Fenced() bool { return m.fenced }
+
+// InboxOffset returns the offset of the first record of the inbox that was not taken over.
+func (m *Machine) InboxOffset() int64 { return m.inbox }
+
+// Orders returns the orders that are to be given at once.
+func (m *Machine) Orders() []Order {
+	orders := m.now
+	m.now = nil
+	return orders
+}
+
+// Take returns what came out of the machine since the last call, but for the orders to be given at once.
+func (m *Machine) Take() Batch {
+	b := m.out
+	m.out = Batch{}
+	for j := range m.touched {
+		b.shows = append(b.shows, shownJob{j, j.state()})
+	}
+	clear(m.touched)
+	for w := range m.saw {
+		b.seen = append(b.seen, seenWorker{w, w.born, w.seen})
+	}
+	clear(m.saw)
+	return b
+}
+
+// Stored tells the machine that the batch's records are on the journal.
+func (m *Machine) Stored(b Batch) {
+	for _, s := range b.shows {
+		s.job.stored = true
+		s.job.shown = s.state
+	}
+	for _, s := range b.seen {
+		if s.worker.born == s.born {
+			s.worker.stored = max(s.worker.stored, s.number)
+		}
+	}
+}
+
+// State returns what may be told of a job, and whether it is known.
+func (m *Machine) State(id string) (State, bool) {
+	j, found := m.jobs[id]
+	if !found || !j.stored {
+		return Queued, false
+	}
+	return j.shown, true
+}
+
+// Pending returns how many accepted jobs of the queue no worker has begun.
+func (m *Machine) Pending(queue string) int {
+	n := 0
+	for _, j := range m.jobs {
+		if j.spec.Queue == queue && j.live() && !j.begun {
+			n++
+		}
+	}
+	return n
+}
+
+// emit applies the record and hands it out to be stored.
+func (m *Machine) emit(r Record) {
+	m.out.Records = append(m.out.Records, r)
+}
+
+func (m *Machine) orderNow(o Order) { m.now = append(m.now, o) }
+
+// orderAfter gives the order once all records so far are stored.
+func (m *Machine) orderAfter(o Order) { m.out.After = append(m.out.After, o) }
+
+func (m *Machine) touch(j *job) { m.touched[j] = true }
+
+func (m *Machine) teamOf(name string) *team {
+	t, found := m.teams[name]
+	if !found {
+		t = &team{name: name}
+		m.teams[name] = t
+	}
+	return t
+}
+
+func (m *Machine) poolOf(name string) *pool {
+	p, found := m.pools[name]
+	if !found {
+		p = &pool{name: name, waiting: map[*step]bool{}, running: map[string]float64{}}
+		m.pools[name] = p
+	}
+	return p
+}
+
+// poolNameOf returns the pool that runs the job: that of its acceptance, or where its queue leads now if that pool is
+// no longer declared.
+func (m *Machine) poolNameOf(j *job) string {
+	if _, declared := m.cfg.Pool(j.spec.Pool); declared || m.cfg.Version() == 0 {
+		return j.spec.Pool
+	}
+	if q, found := m.cfg.Queue(j.spec.Queue); found {
+		return q.Pool
+	}
+	return j.spec.Pool
+}
+
+func (m *Machine) wake(pool string) { m.poolOf(pool).dirty = true }
+
+func (m *Machine) wakeAll() {
+	for _, p := range m.pools {
+		p.dirty = true
+	}
+}
+
+func (m *Machine) workerOf(id string) *worker {
+	w, found := m.workers[id]
+	if !found {
+		w = &worker{id: id, entry: WorkerEntry{ID: id}, runs: map[runKey]*run{}}
+		m.workers[id] = w
+	}
+	return w
+}
--- /dev/null
+++ b/core/sched/options.go
@@ -0,0 +1,67 @@
+package sched
+
+import "time"
+
+// Options sets the machine's times.
+type Options struct {
+	Lease       time.Duration // how long what runs on a worker is renewed
+	Renewal     time.Duration // longest time between two looks at a busy worker
+	IdleLook    time.Duration // time between two looks at an idle worker
+	EndsGather  time.Duration // least time between two looks, so that ends are fetched together
+	Retention   time.Duration // how long an ended job can be asked for
+	Maintenance time.Duration // how long a machine is away for maintenance
+	Migration   time.Duration // how long a machine is away when it moves
+	Notice      time.Duration // a lasting task that is away for longer counts as unavailable for any cause
+	Harm        time.Duration // a serving task may be over its target for this long
+	Checkpoint  time.Duration // work between two checkpoints
+	MovePool    bool          // machines may be moved between pools
+}
+
+// Defaults of Options.
+const (
+	defaultLease       = 4500 * time.Millisecond
+	defaultRenewal     = time.Second
+	defaultIdleLook    = 2 * time.Second
+	defaultEndsGather  = 60 * time.Millisecond
+	defaultRetention   = 150 * time.Second
+	defaultMaintenance = 2 * time.Second
+	defaultMigration   = 1500 * time.Millisecond
+	defaultNotice      = 4500 * time.Millisecond
+	defaultHarm        = 4 * time.Second
+	defaultCheckpoint  = 2 * time.Second
+)
+
+func (o Options) withDefaults() Options {
+	for _, d := range []struct {
+		field    *time.Duration
+		fallback time.Duration
+	}{
+		{&o.Lease, defaultLease},
+		{&o.Renewal, defaultRenewal},
+		{&o.IdleLook, defaultIdleLook},
+		{&o.EndsGather, defaultEndsGather},
+		{&o.Retention, defaultRetention},
+		{&o.Maintenance, defaultMaintenance},
+		{&o.Migration, defaultMigration},
+		{&o.Notice, defaultNotice},
+		{&o.Harm, defaultHarm},
+		{&o.Checkpoint, defaultCheckpoint},
+	} {
+		if *d.field == 0 {
+			*d.field = d.fallback
+		}
+	}
+	return o
+}
+
+const (
+	// A worker's clock may be this much slower than ours.
+	slowClock = 1.0205
+	// Delay of an order on its way and of a timer at the worker.
+	lapseMargin = 250 * time.Millisecond
+)
+
+// lapseAfter returns how long after the last grant all that ran under it has surely ended.
+func (o Options) lapseAfter() time.Duration {
+	return time.Duration(float64(o.Lease)*slowClock) + lapseMargin
+}
--- /dev/null
+++ b/core/sched/snapshot.go
@@ -0,0 +1,67 @@
+package sched
+
+import "time"
+
+// Snapshot returns records that replay to the present state of the jobs.
+func (m *Machine) Snapshot() []Record {
+	records := make([]Record, 0, len(m.jobs)+2)
+	records = append(records, SnapshotBegun{Offset: m.inbox})
+	for _, j := range m.jobs {
+		records = append(records, saveJob(j))
+	}
+	return append(records, SnapshotEnded{Jobs: len(m.jobs)})
+}
+
+func saveJob(j *job) JobSaved {
+	saved := JobSaved{Job: *j.spec, Cancelled: j.cancelled, Outcome: j.outcome, Begun: j.begun}
+	if !j.ended.IsZero() {
+		saved.EndedMs = j.ended.UnixMilli()
+	}
+	for _, r := range j.rounds {
+		for _, s := range r.steps {
+			for _, t := range s.tasks {
+				if t.done || t.attempts > 0 {
+					saved.Tasks = append(saved.Tasks, saveTask(t))
+				}
+			}
+		}
+	}
+	return saved
+}
+
+func saveTask(t *task) taskSaved {
+	saved := taskSaved{Task: t.id(), Done: t.done, Attempts: t.attempts, Failures: t.failures, Checkpoint: t.checkpoint}
+	for _, r := range t.runs {
+		saved.Runs = append(saved.Runs, runSaved{Attempt: r.attempt, Worker: r.worker.id, Born: r.worker.born})
+	}
+	return saved
+}
+
+func (m *Machine) foldSaved(r JobSaved) {
+	j := m.foldAccepted(JobAccepted{Job: r.Job})
+	j.begun = r.Begun
+	for _, saved := range r.Tasks {
+		t := j.task(saved.Task)
+		if t == nil {
+			continue
+		}
+		t.attempts, t.failures, t.checkpoint = saved.Attempts, saved.Failures, saved.Checkpoint
+		for _, run := range saved.Runs {
+			w := m.workerOf(run.Worker)
+			w.born = run.Born
+			m.start(t, w, run.Attempt).phase = runInherited
+		}
+		if saved.Done && !t.done {
+			m.finish(t, time.Time{})
+		}
+	}
+	j.cancelled, j.outcome = r.Cancelled, r.Outcome
+	if r.EndedMs > 0 {
+		j.ended = time.UnixMilli(r.EndedMs)
+	}
+	for _, round := range j.rounds {
+		for _, s := range round.steps {
+			m.prepare(s, time.Time{})
+		}
+	}
+}
--- /dev/null
+++ b/core/sched/worker.go
@@ -0,0 +1,79 @@
+package sched
+
+import (
+	"time"
+
+	"mangowing/core/setup"
+)
+
+// worker is one worker as the machine believes it to be.
+type worker struct {
+	id       string
+	entry    WorkerEntry
+	born     int64
+	listed   bool
+	verified bool // it has answered under the owner's fencing token
+	silent   int  // calls without an answer since the last one
+	heard    time.Time
+	lapse    time.Time // what runs there has surely ended by then
+	holding  bool      // a look is on the way
+	nextHold time.Time
+	seen     int64 // number of the last end taken over
+	stored   int64 // number of the last end on the journal
+	runs     map[runKey]*run
+	used     setup.Resources
+	full     time.Time // it had no room; not asked again before
+	rest     time.Time // it fails what it starts; not used before
+	faults   int       // failed attempts since the last good one
+	cordoned bool      // no new tasks: the machine is about to be taken away
+	drainEnd time.Time // a draining worker may leave from then on
+}
+
+type runKey struct {
+	task    TaskID
+	attempt int
+}
+
+func (r *run) key() runKey { return runKey{r.task.id(), r.attempt} }
+
+const (
+	// A worker is no longer renewed after this many calls without an answer.
+	silentCalls = 2
+	// Failed attempts in a row after which a worker rests.
+	faultsToRest = 2
+	restTime     = 3 * time.Second
+)
+
+// usable tells whether new tasks may be placed on the worker.
+func (w *worker) usable(now time.Time) bool {
+	return w.listed && w.verified && w.silent == 0 && !w.entry.Draining && !w.cordoned &&
+		!now.Before(w.full) && !now.Before(w.rest)
+}
+
+func (w *worker) free() setup.Resources { return w.entry.Capacity.Minus(w.used) }
+
+// hasLabel tells whether the worker has the label; every worker has the empty one.
+func (w *worker) hasLabel(label string) bool {
+	if label == "" {
+		return true
+	}
+	for _, l := range w.entry.Labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *worker) add(r *run) {
+	w.runs[r.key()] = r
+	w.used = w.used.Plus(r.needs().Needs())
+}
+
+func (w *worker) remove(r *run) {
+	if _, found := w.runs[r.key()]; !found {
+		return
+	}
+	delete(w.runs, r.key())
+	w.used = w.used.Minus(r.needs().Needs())
+}
--- a/gate/daemon/admin/record_helper.go
+++ b/gate/daemon/admin/record_helper.go
@@ -11,7 +11,7 @@
 	"mangowing/core/codes"
 	"mangowing/core/event"
 	"mangowing/core/record"
-	"mangowing/gate/daemon/peers"
+	"mangowing/gate/peers"
 	"mangowing/gate/daemon/state"
 )
 
--- a/gate/daemon/admin/server.go
+++ b/gate/daemon/admin/server.go
@@ -22,7 +22,7 @@
 	"mangowing/core/fold"
 	"mangowing/core/proc"
 	"mangowing/core/record"
-	"mangowing/gate/daemon/peers"
+	"mangowing/gate/peers"
 	"mangowing/gate/daemon/queue"
 	"mangowing/gate/daemon/state"
 	"mangowing/gate/daemon/vmlist"
--- a/gate/daemon/admin/status_controller.go
+++ b/gate/daemon/admin/status_controller.go
@@ -12,7 +12,7 @@
 
 	"mangowing/core/event"
 	"mangowing/core/fold"
-	"mangowing/gate/daemon/peers"
+	"mangowing/gate/peers"
 )
 
 const (
--- a/gate/daemon/assemble.go
+++ b/gate/daemon/assemble.go
@@ -17,7 +17,7 @@
 	"mangowing/gate/daemon/caller"
 	"mangowing/gate/daemon/limits"
 	"mangowing/gate/daemon/once"
-	"mangowing/gate/daemon/peers"
+	"mangowing/gate/peers"
 	"mangowing/gate/daemon/plan"
 	"mangowing/gate/daemon/queue"
 	"mangowing/gate/daemon/relay"
--- a/gate/daemon/limits/centre_harness_test.go
+++ b/gate/daemon/limits/centre_harness_test.go
@@ -19,7 +19,7 @@
 	"mangowing/core/proc"
 	"mangowing/core/record"
 	"mangowing/core/rights"
-	"mangowing/gate/daemon/peers"
+	"mangowing/gate/peers"
 )
 
 const (
--- a/gate/daemon/limits/neighbour.go
+++ b/gate/daemon/limits/neighbour.go
@@ -5,7 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"mangowing/gate/daemon/peers"
+	"mangowing/gate/peers"
 )
 
 const initiatorKey = "limits-recount"
--- a/gate/daemon/limits/recount_initiator.go
+++ b/gate/daemon/limits/recount_initiator.go
@@ -13,7 +13,7 @@
 
 	"mangowing/core/event"
 	"mangowing/core/rights"
-	"mangowing/gate/daemon/peers"
+	"mangowing/gate/peers"
 )
 
 const (
--- a/gate/daemon/limits/service.go
+++ b/gate/daemon/limits/service.go
@@ -8,7 +8,7 @@
 	"mangowing/core/fold"
 	"mangowing/core/proc"
 	"mangowing/core/rights"
-	"mangowing/gate/daemon/peers"
+	"mangowing/gate/peers"
 )
 
 const checkPeriod = 100 * time.Millisecond
--- a/gate/daemon/limits/want_helper.go
+++ b/gate/daemon/limits/want_helper.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"mangowing/core/rights"
-	"mangowing/gate/daemon/peers"
+	"mangowing/gate/peers"
 )
 
 const (
--- a/gate/daemon/once/forward_handler.go
+++ b/gate/daemon/once/forward_handler.go
@@ -9,7 +9,7 @@
 
 	"mangowing/core/codes"
 	"mangowing/core/ticket"
-	"mangowing/gate/daemon/peers"
+	"mangowing/gate/peers"
 	"mangowing/gate/daemon/relay"
 )
 
--- a/gate/daemon/once/gate.go
+++ b/gate/daemon/once/gate.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"mangowing/gate/daemon/peers"
+	"mangowing/gate/peers"
 )
 
 // Gate is one declared gate as the membership view has it.
--- a/gate/daemon/once/harness_test.go
+++ b/gate/daemon/once/harness_test.go
@@ -18,7 +18,7 @@
 	"mangowing/core/fold"
 	"mangowing/core/proc"
 	"mangowing/core/record"
-	"mangowing/gate/daemon/peers"
+	"mangowing/gate/peers"
 	"mangowing/gate/daemon/relay"
 )
 
--- a/gate/daemon/once/service.go
+++ b/gate/daemon/once/service.go
@@ -10,7 +10,7 @@
 	"mangowing/core/proc"
 	"mangowing/core/record"
 	"mangowing/core/ticket"
-	"mangowing/gate/daemon/peers"
+	"mangowing/gate/peers"
 	"mangowing/gate/daemon/relay"
 )
 
--- a/gate/daemon/queue/client.go
+++ b/gate/daemon/queue/client.go
@@ -10,7 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"mangowing/core/codes"
-	"mangowing/gate/daemon/peers"
+	"mangowing/gate/peers"
 )
 
 const (
--- a/gate/daemon/queue/client_test.go
+++ b/gate/daemon/queue/client_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"mangowing/gate/daemon/peers"
+	"mangowing/gate/peers"
 )
 
 // Giving back a try whose answer was lost must not end the grant of a later one, so their ids differ.
--- a/gate/daemon/queue/level_helper.go
+++ b/gate/daemon/queue/level_helper.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"mangowing/core/codes"
-	"mangowing/gate/daemon/peers"
+	"mangowing/gate/peers"
 )
 
 const (
--- a/gate/daemon/queue/load_controller.go
+++ b/gate/daemon/queue/load_controller.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"sync"
 
-	"mangowing/gate/daemon/peers"
+	"mangowing/gate/peers"
 )
 
 const methodLoad = "queue/load"
--- a/gate/daemon/queue/service.go
+++ b/gate/daemon/queue/service.go
@@ -10,7 +10,7 @@
 	"mangowing/core/codes"
 	"mangowing/core/fold"
 	"mangowing/core/proc"
-	"mangowing/gate/daemon/peers"
+	"mangowing/gate/peers"
 	"mangowing/gate/daemon/vmlist"
 	"mangowing/gate/plat"
 )
--- a/gate/daemon/settings.go
+++ b/gate/daemon/settings.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"mangowing/core/config"
-	"mangowing/gate/daemon/peers"
+	"mangowing/gate/peers"
 )
 
 const (
--- a/gate/daemon/state/service.go
+++ b/gate/daemon/state/service.go
@@ -12,7 +12,7 @@
 	"mangowing/core/fold"
 	"mangowing/core/proc"
 	"mangowing/core/record"
-	"mangowing/gate/daemon/peers"
+	"mangowing/gate/peers"
 	"mangowing/gate/plat"
 )
 
--- a/gate/daemon/state/withdraw.go
+++ b/gate/daemon/state/withdraw.go
@@ -13,7 +13,7 @@
 
 	"mangowing/core/event"
 	"mangowing/core/record"
-	"mangowing/gate/daemon/peers"
+	"mangowing/gate/peers"
 )
 
 const (
--- a/gate/daemon/vmlist/service.go
+++ b/gate/daemon/vmlist/service.go
@@ -14,7 +14,7 @@
 
 	"mangowing/core/event"
 	"mangowing/core/proc"
-	"mangowing/gate/daemon/peers"
+	"mangowing/gate/peers"
 	"mangowing/gate/plat"
 )
 
--- /dev/null
+++ b/gate/feed/doc.go
@@ -0,0 +1,3 @@
+// Package feed keeps a gate's copy of the configuration fresh: from the platform, and from other gates when the
+// platform turns this gate away.
+package feed
--- /dev/null
+++ b/gate/lead/journal.go
@@ -0,0 +1,242 @@
+package lead
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"mangowing/core/sched"
+	"mangowing/gate/ports"
+)
+
+const (
+	journalTopic  = "journal"
+	inboxTopic    = "inbox"
+	marksTopic    = "marks"
+	snapshotMark  = "snapshot"
+	producer      = "journal"
+	mostBytes     = 512 << 10
+	appendLimit   = 2500 * time.Millisecond
+	appendHedge   = 250 * time.Millisecond // another try begins beside one without an answer
+	appendPause   = 120 * time.Millisecond
+	readLimit     = 3 * time.Second
+	readWait      = 700 * time.Millisecond
+	appendTries   = 6
+	retryReadStep = 150 * time.Millisecond
+)
+
+// journal appends the records of one ownership in order.
+type journal struct {
+	log      ports.Log
+	epoch    int64
+	sequence int64
+	end      int64
+}
+
+// fence makes the log refuse the appends of every owner before, and learns where the journal ends.
+func (j *journal) fence(ctx context.Context) error {
+	offset, err := j.appendOnce(ctx, nil)
+	if err == nil {
+		j.end = offset
+	}
+	return err
+}
+
+// append stores the records; it returns only when they are stored, the ownership is lost or the context ends.
+func (j *journal) append(ctx context.Context, records [][]byte) (first int64, err error) {
+	first = -1
+	for len(records) > 0 {
+		n, size := 0, 0
+		for n < len(records) && (n == 0 || size+len(records[n]) <= mostBytes) {
+			size += len(records[n])
+			n++
+		}
+		offset, err := j.appendOnce(ctx, records[:n])
+		if err != nil {
+			return 0, err
+		}
+		if first < 0 {
+			first = offset
+		}
+		records = records[n:]
+	}
+	return first, nil
+}
+
+// appendOnce repeats one append until it is known to be stored. All tries carry the same sequence number, so that the
+// log keeps one.
+func (j *journal) appendOnce(ctx context.Context, records [][]byte) (int64, error) {
+	a := ports.Append{
+		Topic: journalTopic, Records: records, EndsAt: ports.NoCondition,
+		Producer: producer, Epoch: j.epoch, Sequence: j.sequence,
+	}
+	for {
+		offset, err := Hedged(ctx, appendHedge, appendTries, func(ctx context.Context) (int64, error) {
+			ctx, cancel := context.WithTimeout(ctx, appendLimit)
+			defer cancel()
+			return j.log.Append(ctx, a)
+		})
+		switch {
+		case err == nil:
+			j.sequence++
+			return offset, nil
+		case errors.Is(err, ports.ErrFenced), errors.Is(err, ports.ErrSequence), ctx.Err() != nil:
+			return 0, err
+		}
+		klog.V(1).InfoS("journal-append-repeated", "epoch", j.epoch, "records", len(records), "error", err.Error())
+		pause(ctx, appendPause)
+	}
+}
+
+// Hedged calls f, and again beside it each time no answer came within the step, and returns the first success, or the
+// last error once no try is left.
+func Hedged[T any](ctx context.Context, step time.Duration, tries int, f func(context.Context) (T, error)) (T, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type outcome struct {
+		value T
+		err   error
+	}
+	results := make(chan outcome, tries)
+	begin := func() {
+		go func() {
+			v, err := f(ctx)
+			results <- outcome{v, err}
+		}()
+	}
+	begin()
+	begun, ended := 1, 0
+	timer := time.NewTimer(step)
+	defer timer.Stop()
+	for {
+		select {
+		case r := <-results:
+			ended++
+			if r.err == nil || ended == begun {
+				return r.value, r.err
+			}
+		case <-timer.C:
+			if begun < tries {
+				begin()
+				begun++
+				timer.Reset(step * time.Duration(begun))
+			}
+		case <-ctx.Done():
+			var none T
+			return none, eris.Wrap(ports.ErrUnknown, ctx.Err().Error())
+		}
+	}
+}
+
+// replay reads the journal from the last snapshot to its end into the machine.
+func (j *journal) replay(ctx context.Context, m *sched.Machine) error {
+	from, err := j.snapshotOffset(ctx)
+	if err != nil {
+		return err
+	}
+	n := 0
+	for from < j.end {
+		page, err := readPage(ctx, j.log, journalTopic, from)
+		if errors.Is(err, ports.ErrTrimmed) && page.First > from {
+			klog.ErrorS(err, "journal-trimmed", "from", from, "first", page.First)
+			from = page.First
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		for _, raw := range page.Records {
+			n++
+			replayOne(m, raw)
+		}
+		from = page.Next()
+	}
+	klog.InfoS("journal-replayed", "epoch", j.epoch, "records", n, "end", j.end)
+	return nil
+}
+
+func replayOne(m *sched.Machine, raw []byte) {
+	record, err := sched.Decode(raw)
+	if err == nil {
+		err = m.Replay(record)
+	}
+	if err != nil {
+		klog.ErrorS(err, "journal-record-skipped")
+	}
+}
+
+// readPage reads without waiting and repeats what got no answer.
+func readPage(ctx context.Context, log ports.Log, topic string, from int64) (ports.Page, error) {
+	for {
+		page, err := Hedged(ctx, appendHedge, appendTries, func(ctx context.Context) (ports.Page, error) {
+			ctx, cancel := context.WithTimeout(ctx, readLimit)
+			defer cancel()
+			return log.Read(ctx, topic, from, 0)
+		})
+		if err == nil || errors.Is(err, ports.ErrTrimmed) || ctx.Err() != nil {
+			return page, err
+		}
+		pause(ctx, retryReadStep)
+	}
+}
+
+// snapshotOffset returns where the last whole snapshot begins, 0 if there is none.
+func (j *journal) snapshotOffset(ctx context.Context) (int64, error) {
+	for {
+		entries, err := Hedged(ctx, appendHedge, appendTries, func(ctx context.Context) ([]ports.Entry, error) {
+			ctx, cancel := context.WithTimeout(ctx, readLimit)
+			defer cancel()
+			return j.log.Newest(ctx, marksTopic)
+		})
+		if err == nil {
+			return markIn(entries), nil
+		}
+		if ctx.Err() != nil {
+			return 0, err
+		}
+		pause(ctx, retryReadStep)
+	}
+}
+
+func markIn(entries []ports.Entry) int64 {
+	for _, e := range entries {
+		if e.Key != snapshotMark {
+			continue
+		}
+		offset, err := strconv.ParseInt(string(e.Value), 10, 64)
+		if err != nil {
+			klog.ErrorS(err, "snapshot-mark-unreadable", "value", string(e.Value))
+			return 0
+		}
+		return offset
+	}
+	return 0
+}
+
+// mark says that a whole snapshot begins at the offset, and drops what is older.
+func (j *journal) mark(ctx context.Context, offset int64) {
+	ctx, cancel := context.WithTimeout(ctx, readLimit)
+	defer cancel()
+	value := strconv.FormatInt(offset, 10)
+	if err := j.log.Put(ctx, marksTopic, ports.Entry{Key: snapshotMark, Value: []byte(value)}); err != nil {
+		klog.InfoS("snapshot-not-marked", "offset", offset, "error", err.Error())
+		return
+	}
+	if err := j.log.Trim(ctx, journalTopic, offset); err != nil {
+		klog.InfoS("journal-not-trimmed", "offset", offset, "error", err.Error())
+	}
+	klog.InfoS("snapshot-marked", "offset", offset)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/gate/lead/meters.go
@@ -0,0 +1,4 @@
+package lead
+
+// Meters counts what an owner does.
+type Meters struct{}
--- /dev/null
+++ b/gate/lead/orders.go
@@ -0,0 +1,115 @@
+package lead
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"mangowing/core/sched"
+	"mangowing/gate/ports"
+)
+
+const (
+	orderLimit   = 900 * time.Millisecond
+	holdSlack    = 900 * time.Millisecond
+	machineLimit = 3 * time.Second
+	adviceLimit  = 3 * time.Second
+)
+
+// give carries an order out; its report comes back to the machine.
+func (t *term) give(ctx context.Context, o sched.Order) {
+	switch o := o.(type) {
+	case sched.StartTask:
+		t.giveStart(ctx, o)
+	case sched.StopTask:
+		t.toWorker(ctx, o.Worker, sched.StopReport{Order: o, Answer: sched.Unknown}, orderLimit,
+			func(ctx context.Context, to ports.Target) sched.Report {
+				return sched.StopReport{Order: o, Answer: t.deps.Workers.Stop(ctx, to, o, t.epoch)}
+			})
+	case sched.PaceTask:
+		t.toWorker(ctx, o.Worker, sched.PaceReport{Order: o, Answer: sched.Unknown}, orderLimit,
+			func(ctx context.Context, to ports.Target) sched.Report {
+				return sched.PaceReport{Order: o, Answer: t.deps.Workers.Pace(ctx, to, o, t.epoch)}
+			})
+	case sched.HoldWorker:
+		if !t.deps.Keeper.MayRenew() {
+			o.Lease = 0
+		}
+		t.toWorker(ctx, o.Worker, sched.HoldReport{Order: o, Answer: sched.Unknown}, o.Wait+holdSlack,
+			func(ctx context.Context, to ports.Target) sched.Report {
+				return t.deps.Workers.Hold(ctx, to, o, t.epoch)
+			})
+	case sched.AskAdvice:
+		t.spawn(ctx, adviceLimit, func(ctx context.Context) sched.Report { return t.deps.Advisor.Ask(ctx, o) })
+	case sched.MoveMachine:
+		t.giveMachine(ctx, o, func(ctx context.Context) sched.Report {
+			return sched.MoveReport{Order: o, Answer: t.deps.Machines.Move(ctx, o, t.epoch)}
+		})
+	case sched.ServiceMachine:
+		t.giveMachine(ctx, o, func(ctx context.Context) sched.Report {
+			return sched.ServiceReport{Order: o, Answer: t.deps.Machines.Service(ctx, o, t.epoch)}
+		})
+	case sched.ReportWave:
+		go t.reportWave(ctx, o)
+	}
+}
+
+func (t *term) giveStart(ctx context.Context, o sched.StartTask) {
+	if !t.machine.Wanted(o) {
+		t.machine.Apply(time.Now(), sched.StartReport{Order: o, Answer: sched.Withdrawn})
+		return
+	}
+	if !t.deps.Keeper.MayOrder() {
+		t.held = append(t.held, o)
+		return
+	}
+	t.toWorker(ctx, o.Worker, sched.StartReport{Order: o, Answer: sched.Unknown}, orderLimit,
+		func(ctx context.Context, to ports.Target) sched.Report {
+			sent := time.Now()
+			return sched.StartReport{Order: o, Answer: t.deps.Workers.Start(ctx, to, o, t.epoch), SentAt: sent}
+		})
+}
+
+func (t *term) giveMachine(ctx context.Context, o sched.Order, f func(context.Context) sched.Report) {
+	if !t.deps.Keeper.MayOrder() {
+		t.held = append(t.held, o)
+		return
+	}
+	t.spawn(ctx, machineLimit, f)
+}
+
+// toWorker calls a worker whose address is known; else the order ends with the report for no answer.
+func (t *term) toWorker(ctx context.Context, id string, none sched.Report, limit time.Duration, f func(context.Context, ports.Target) sched.Report) {
+	to, known := t.targets[id]
+	if !known {
+		go func() { t.report(ctx, none) }()
+		return
+	}
+	t.spawn(ctx, limit, func(ctx context.Context) sched.Report { return f(ctx, to) })
+}
+
+func (t *term) spawn(ctx context.Context, limit time.Duration, f func(context.Context) sched.Report) {
+	go func() {
+		callCtx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		t.report(ctx, f(callCtx))
+	}()
+}
+
+func (t *term) report(ctx context.Context, r sched.Report) {
+	select {
+	case t.reports <- r:
+	case <-ctx.Done():
+	}
+}
+
+func (t *term) reportWave(ctx context.Context, o sched.ReportWave) {
+	ctx, cancel := context.WithTimeout(ctx, machineLimit)
+	defer cancel()
+	if err := t.deps.Operators.ReportWave(ctx, o.Wave, o.Completed); err != nil {
+		klog.InfoS("wave-not-reported", "wave", o.Wave, "completed", o.Completed, "error", err.Error())
+		return
+	}
+	klog.InfoS("wave-reported", "wave", o.Wave, "completed", o.Completed)
+}
--- /dev/null
+++ b/gate/lead/service.go
@@ -0,0 +1,140 @@
+package lead
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"mangowing/core/codes"
+	"mangowing/core/sched"
+	"mangowing/gate/feed"
+	"mangowing/gate/owner"
+	"mangowing/gate/ports"
+)
+
+const (
+	ownerLook  = 20 * time.Millisecond
+	callsQueue = 256
+)
+
+// Deps are the parts that a Service works with.
+type Deps struct {
+	Log       ports.Log
+	Workers   ports.Workers
+	Machines  ports.Machines
+	Advisor   ports.Advisor
+	Directory ports.Directory
+	Operators ports.Operators
+	Keeper    *owner.Keeper
+	Configs   *feed.Configs
+	Options   sched.Options
+	Meters    *Meters
+}
+
+// Service runs the scheduler while its gate is the owner.
+type Service struct {
+	deps  Deps
+	calls chan call
+	busy  chan struct{} // holds a token while no ownership runs
+}
+
+// New returns a service; it does nothing before Serve.
+func New(deps Deps) *Service {
+	if deps.Meters == nil {
+		deps.Meters = &Meters{}
+	}
+	return &Service{deps: deps, calls: make(chan call, callsQueue), busy: make(chan struct{}, 1)}
+}
+
+// Serve runs one ownership after the other until the context ends.
+func (s *Service) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if epoch := s.deps.Keeper.Mine(); epoch != 0 {
+			s.own(ctx, epoch)
+		}
+		s.refuseCalls()
+		pause(ctx, ownerLook)
+	}
+	return ctx.Err()
+}
+
+// own runs one ownership to its end.
+func (s *Service) own(ctx context.Context, epoch int64) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	klog.InfoS("ownership-begins", "epoch", epoch)
+	t := newTerm(s, epoch)
+	if err := t.takeOver(ctx); err != nil {
+		klog.InfoS("takeover-failed", "epoch", epoch, "error", err.Error())
+		s.deps.Keeper.Lost("takeover failed: " + err.Error())
+		return
+	}
+	why := t.run(ctx)
+	s.deps.Keeper.Lost(why)
+	klog.InfoS("ownership-ended", "epoch", epoch, "why", why)
+}
+
+// refuseCalls answers calls that came while this gate is not the owner.
+func (s *Service) refuseCalls() {
+	for {
+		select {
+		case c := <-s.calls:
+			refuse(c)
+		default:
+			return
+		}
+	}
+}
+
+func refuse(c call) {
+	answer := Refuse(codes.NotOwner, 0)
+	switch c := c.(type) {
+	case submitCall:
+		c.reply <- answer
+	case cancelCall:
+		c.reply <- answer
+	case stateCall:
+		c.reply <- answer
+	case pendingCall:
+		c.reply <- answer
+	}
+}
+
+// Submit hands a job to the owner on this gate; the answer comes once the job is stored.
+func (s *Service) Submit(ctx context.Context, spec sched.JobSpec) Answer {
+	return s.ask(ctx, func(reply chan<- Answer) call { return submitCall{spec, reply} })
+}
+
+// Cancel tells the owner on this gate that a job is no longer wanted.
+func (s *Service) Cancel(ctx context.Context, id string) Answer {
+	return s.ask(ctx, func(reply chan<- Answer) call { return cancelCall{id, reply} })
+}
+
+// State asks the owner on this gate for a job's state.
+func (s *Service) State(ctx context.Context, id string) Answer {
+	return s.ask(ctx, func(reply chan<- Answer) call { return stateCall{id, reply} })
+}
+
+// Pending asks the owner on this gate how many jobs of a queue no worker has begun.
+func (s *Service) Pending(ctx context.Context, queue string) Answer {
+	return s.ask(ctx, func(reply chan<- Answer) call { return pendingCall{queue, reply} })
+}
+
+func (s *Service) ask(ctx context.Context, make1 func(chan<- Answer) call) Answer {
+	if s.deps.Keeper.Mine() == 0 {
+		return Refuse(codes.NotOwner, 0)
+	}
+	reply := make(chan Answer, 1)
+	select {
+	case s.calls <- make1(reply):
+	case <-ctx.Done():
+		return Refuse(codes.NotOwner, 0)
+	}
+	select {
+	case a := <-reply:
+		return a
+	case <-ctx.Done():
+		return Refuse(codes.JobUnsettled, 0)
+	}
+}
--- /dev/null
+++ b/gate/lead/term.go
@@ -0,0 +1,322 @@
+package lead
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"mangowing/core/codes"
+	"mangowing/core/sched"
+	"mangowing/gate/ports"
+)
+
+const (
+	tick           = 50 * time.Millisecond
+	reportsQueue   = 1024
+	eventsAtOnce   = 128
+	snapshotPeriod = 60 * time.Second
+	takeOverLimit  = 20 * time.Second
+)
+
+// term is one ownership of the scheduler; one goroutine runs it.
+type term struct {
+	*Service
+	epoch    int64
+	machine  *sched.Machine
+	journal  *journal
+	reports  chan sched.Report
+	lists    chan map[string]sched.WorkerEntry
+	machines chan []sched.MachineEntry
+	inbox    chan ports.Page
+	stored   chan storedGroup
+	targets  map[string]ports.Target
+	storing  bool
+	replies  []reply          // to be given once what the machine records next is stored
+	held     []sched.Order    // wait until this gate may order again
+	snapshot time.Time        // when the last snapshot was taken
+	configs  <-chan struct{}  // ticks on each declaration
+	encoded  map[string]int64 // sizes by kind of record, for the metrics
+}
+
+// reply is an answer that waits for records to be stored.
+type reply struct {
+	to     chan<- Answer
+	answer Answer
+}
+
+// group is a batch of the machine with the answers that wait for it.
+type group struct {
+	batch    sched.Batch
+	replies  []reply
+	records  [][]byte
+	snapshot int // index of the snapshot's first record, -1 for none
+}
+
+type storedGroup struct {
+	group
+	first int64
+	err   error
+}
+
+func newTerm(s *Service, epoch int64) *term {
+	return &term{
+		Service: s, epoch: epoch, machine: sched.New(s.deps.Options),
+		journal:  &journal{log: s.deps.Log, epoch: epoch},
+		reports:  make(chan sched.Report, reportsQueue),
+		lists:    make(chan map[string]sched.WorkerEntry, 1),
+		machines: make(chan []sched.MachineEntry, 1),
+		inbox:    make(chan ports.Page, 1),
+		stored:   make(chan storedGroup, 1),
+		targets:  map[string]ports.Target{},
+		configs:  s.deps.Configs.Subscribe(),
+		snapshot: time.Now(),
+	}
+}
+
+// takeOver fences the owner before, replays the journal and the inbox, and asks the workers what they run.
+func (t *term) takeOver(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, takeOverLimit)
+	defer cancel()
+	started := time.Now()
+	if err := t.journal.fence(ctx); err != nil {
+		return err
+	}
+	fenced := time.Now()
+	if err := t.journal.replay(ctx, t.machine); err != nil {
+		return err
+	}
+	klog.InfoS("takeover", "epoch", t.epoch, "fence-ms", fenced.Sub(started).Milliseconds(),
+		"replay-ms", time.Since(fenced).Milliseconds())
+	now := time.Now()
+	t.machine.Begin(now, t.deps.Keeper.LastGrant())
+	t.declare(now)
+	return nil
+}
+
+// declare hands the machine what operators have declared.
+func (t *term) declare(now time.Time) {
+	if cfg := t.deps.Configs.Config(); cfg != nil {
+		t.machine.Configure(now, cfg)
+	}
+	for _, w := range t.deps.Configs.Waves() {
+		t.machine.AddWave(now, w)
+	}
+}
+
+// run serves until the ownership ends, and returns why it did.
+func (t *term) run(ctx context.Context) string {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go t.watchDirectory(ctx)
+	go t.watchInbox(ctx, t.machine.InboxOffset())
+	go t.watchMachines(ctx)
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		now := time.Now()
+		t.machine.Decide(now)
+		t.pump(ctx)
+		t.logDecisions()
+		switch {
+		case t.machine.Fenced():
+			return "a worker or machine has seen a higher fencing token"
+		case t.deps.Keeper.Mine() != t.epoch:
+			return "another gate is owner"
+		}
+		select {
+		case <-ctx.Done():
+			return "the gate stops"
+		case <-ticker.C:
+		case c := <-t.calls:
+			t.handle(time.Now(), c)
+		case r := <-t.reports:
+			t.machine.Apply(time.Now(), r)
+		case s := <-t.stored:
+			if why := t.finish(ctx, s); why != "" {
+				return why
+			}
+		case entries := <-t.lists:
+			t.listWorkers(entries)
+		case entries := <-t.machines:
+			t.machine.ListMachines(time.Now(), entries)
+		case page := <-t.inbox:
+			t.takeInbox(time.Now(), page)
+		case <-t.configs:
+			t.declare(time.Now())
+		}
+		t.drain()
+	}
+}
+
+// drain takes what else has arrived, so that one decision serves it all.
+func (t *term) drain() {
+	for range eventsAtOnce {
+		select {
+		case c := <-t.calls:
+			t.handle(time.Now(), c)
+		case r := <-t.reports:
+			t.machine.Apply(time.Now(), r)
+		default:
+			return
+		}
+	}
+}
+
+func (t *term) listWorkers(entries map[string]sched.WorkerEntry) {
+	now := time.Now()
+	for id, e := range entries {
+		t.targets[id] = ports.Target{ID: id, Address: e.Address, Born: e.Born}
+	}
+	t.machine.ListWorkers(now, entries)
+	for id := range t.targets {
+		if _, listed := entries[id]; !listed && !t.machine.Knows(id) {
+			delete(t.targets, id)
+			t.deps.Workers.Forget(id)
+		}
+	}
+}
+
+// pump gives the orders that wait for nothing and stores what the machine has recorded.
+func (t *term) pump(ctx context.Context) {
+	for _, o := range t.machine.Orders() {
+		t.give(ctx, o)
+	}
+	if len(t.held) > 0 && t.deps.Keeper.MayOrder() {
+		held := t.held
+		t.held = nil
+		for _, o := range held {
+			t.give(ctx, o)
+		}
+	}
+	if !t.storing {
+		t.store(ctx)
+	}
+}
+
+// store appends the next group, if there is anything to store.
+func (t *term) store(ctx context.Context) {
+	g := group{batch: t.machine.Take(), replies: t.replies, snapshot: -1}
+	t.replies = nil
+	t.encode(&g, g.batch.Records)
+	if now := time.Now(); now.Sub(t.snapshot) >= snapshotPeriod {
+		t.snapshot = now
+		g.snapshot = len(g.records)
+		t.encode(&g, t.machine.Snapshot())
+	}
+	if len(g.records) == 0 {
+		t.complete(ctx, g)
+		return
+	}
+	t.storing = true
+	go func() {
+		first, err := t.journal.append(ctx, g.records)
+		t.stored <- storedGroup{g, first, err}
+	}()
+}
+
+func (t *term) encode(g *group, records []sched.Record) {
+	for _, r := range records {
+		raw, err := sched.Encode(r)
+		if err != nil {
+			klog.ErrorS(err, "record-not-encoded")
+			continue
+		}
+		g.records = append(g.records, raw)
+	}
+}
+
+// finish takes the outcome of an append; the text says why the ownership ends, if it does.
+func (t *term) finish(ctx context.Context, s storedGroup) string {
+	t.storing = false
+	if s.err != nil {
+		for _, r := range s.replies {
+			r.to <- Refuse(codes.JobUnsettled, 0)
+		}
+		if errors.Is(s.err, ports.ErrFenced) {
+			return "the journal is fenced"
+		}
+		return "the journal can't be written: " + s.err.Error()
+	}
+	if s.snapshot >= 0 {
+		go t.journal.mark(ctx, s.first+int64(s.snapshot))
+	}
+	t.complete(ctx, s.group)
+	return ""
+}
+
+// complete does what waited for the group to be stored.
+func (t *term) complete(ctx context.Context, g group) {
+	t.machine.Stored(g.batch)
+	for _, r := range g.replies {
+		r.to <- r.answer
+	}
+	for _, o := range g.batch.After {
+		t.give(ctx, o)
+	}
+}
+
+// handle serves a call of the intake.
+func (t *term) handle(now time.Time, c call) {
+	switch c := c.(type) {
+	case submitCall:
+		t.submit(now, c)
+	case cancelCall:
+		answer := Answer{}
+		if !t.machine.Cancel(now, c.id) {
+			answer = Refuse(codes.JobUnknown, 0)
+		}
+		t.replies = append(t.replies, reply{c.reply, answer})
+	case stateCall:
+		state, known := t.machine.State(c.id)
+		if !known {
+			c.reply <- Refuse(codes.JobUnknown, 0)
+			return
+		}
+		c.reply <- Answer{state: state}
+	case pendingCall:
+		c.reply <- Answer{count: t.machine.Pending(c.queue)}
+	}
+}
+
+func (t *term) submit(now time.Time, c submitCall) {
+	verdict, after := t.machine.Submit(now, c.spec)
+	if verdict == sched.Overload {
+		klog.InfoS("job-refused", "job", c.spec.ID, "queue", c.spec.Queue, "team", c.spec.Team, "retry-after-ms", after.Milliseconds())
+		c.reply <- Refuse(codes.JobPoolFull, after)
+		return
+	}
+	klog.V(1).InfoS("job-taken", "job", c.spec.ID, "queue", c.spec.Queue, "repeated", verdict == sched.Repeated)
+	t.replies = append(t.replies, reply{c.reply, Answer{}})
+}
+
+// takeInbox takes over what gates accepted while they could not reach the owner.
+func (t *term) takeInbox(now time.Time, page ports.Page) {
+	for _, raw := range page.Records {
+		record, err := sched.Decode(raw)
+		if err != nil {
+			klog.ErrorS(err, "inbox-record-skipped")
+			continue
+		}
+		switch r := record.(type) {
+		case sched.JobAccepted:
+			klog.InfoS("job-from-inbox", "job", r.Job.ID)
+			t.machine.TakeOver(now, r.Job)
+		case sched.JobCancelled:
+			klog.InfoS("cancel-from-inbox", "job", r.ID)
+			t.machine.CancelEarly(now, r.ID)
+		default:
+			klog.InfoS("inbox-record-skipped", "type", "unexpected")
+		}
+	}
+	if len(page.Records) > 0 {
+		t.machine.ReadInbox(page.Next())
+	}
+}
+
+func (t *term) logDecisions() {
+	for _, d := range t.machine.Decisions() {
+		klog.InfoS(d.What, "task", d.Task, "worker", d.Worker, "why", d.Why)
+	}
+}
--- /dev/null
+++ b/gate/node/node.go
@@ -0,0 +1,115 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/thejerf/suture/v4"
+	"k8s.io/klog/v2"
+
+	"mangowing/core/event"
+	"mangowing/core/sched"
+	"mangowing/gate/feed"
+	"mangowing/gate/intake"
+	"mangowing/gate/lead"
+	"mangowing/gate/owner"
+	"mangowing/gate/peers"
+	"mangowing/gate/ports"
+)
+
+// Platform is what the platform's adapters implement.
+type Platform struct {
+	Log       ports.Log
+	Workers   ports.Workers
+	Machines  ports.Machines
+	Advisor   ports.Advisor
+	Directory ports.Directory
+	Operators ports.Operators
+}
+
+// Options says who the gate is.
+type Options struct {
+	Name        string
+	PeerAddress string   // where other gates connect
+	Seeds       []string // addresses of other gates that are known from the settings
+	Scheduler   sched.Options
+}
+
+// Node is the job service of one gate.
+type Node struct {
+	options  Options
+	network  *peers.Network
+	keeper   *owner.Keeper
+	configs  *feed.Configs
+	peers    *feed.Peers
+	lead     *lead.Service
+	intake   *intake.Service
+	stopping atomic.Bool
+}
+
+// New assembles the service; nothing runs yet.
+func New(o Options, p Platform) *Node {
+	n := &Node{options: o, network: peers.NewNetwork(o.PeerAddress, nil, &event.Clock{})}
+	n.keeper = owner.New(p.Log, o.Name, o.PeerAddress, n.eligible)
+	n.peers = feed.NewPeers(p.Log, n.network, n.keeper, o.Name, o.PeerAddress)
+	n.peers.Seed(o.Seeds)
+	n.configs = feed.New(p.Operators, n.peers.Ask)
+	n.lead = lead.New(lead.Deps{
+		Log: p.Log, Workers: p.Workers, Machines: p.Machines, Advisor: p.Advisor, Directory: p.Directory,
+		Operators: p.Operators, Keeper: n.keeper, Configs: n.configs, Options: o.Scheduler,
+	})
+	n.intake = intake.New(n.lead, n.network, n.keeper, n.configs, p.Log)
+	n.network.Handle(n.intake.Answer())
+	n.network.Handle(n.peers.Answer(n.configs))
+	return n
+}
+
+// Intake returns the part that serves callers.
+func (n *Node) Intake() *intake.Service { return n.intake }
+
+// Ready tells the balancer whether to send callers.
+func (n *Node) Ready() bool { return !n.stopping.Load() && n.intake.Ready() }
+
+// Stopping tells whether a planned stop has begun.
+func (n *Node) Stopping() bool { return n.stopping.Load() }
+
+// eligible tells whether the gate may claim the ownership.
+func (n *Node) eligible() bool { return !n.stopping.Load() && n.configs.Config() != nil }
+
+// Stop begins a planned stop: the gate is not ready any more and gives the ownership up.
+func (n *Node) Stop(ctx context.Context) {
+	n.stopping.Store(true)
+	klog.InfoS("gate-stopping", "gate", n.options.Name)
+	n.keeper.Release(ctx)
+}
+
+// Serve runs all parts until the context ends.
+func (n *Node) Serve(ctx context.Context) error {
+	tree := suture.New("jobs", suture.Spec{EventHook: func(e suture.Event) {
+		klog.InfoS("supervisor-event", "supervisor", "jobs", "event", e.String())
+	}})
+	for _, l := range []leaf{
+		{"peers", n.network.Serve},
+		{"declarations", n.configs.Follow},
+		{"declarations-of-peers", n.configs.Heal},
+		{"gates", n.peers.Serve},
+		{"owner", n.keeper.Follow},
+		{"beat", n.keeper.Beat},
+		{"scheduler", n.lead.Serve},
+	} {
+		tree.Add(l)
+	}
+	return tree.Serve(ctx)
+}
+
+// leaf is one leaf of the supervisor tree.
+type leaf struct {
+	name  string
+	serve func(context.Context) error
+}
+
+// Serve runs the leaf.
+func (l leaf) Serve(ctx context.Context) error { return l.serve(ctx) }
+
+// String returns the leaf's name for the supervisor's messages.
+func (l leaf) String() string { return l.name }
--- /dev/null
+++ b/gate/owner/keeper.go
@@ -0,0 +1,369 @@
+package owner
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"mangowing/core/timer"
+	"mangowing/gate/ports"
+)
+
+const (
+	topic = "owner"
+
+	beatPeriod = 600 * time.Millisecond
+	// Without a beat for this long, another gate claims the ownership.
+	silence = 2200 * time.Millisecond
+	// An owner orders nothing when its last beat on the log is older.
+	orderLimit = 1800 * time.Millisecond
+	// An owner renews nothing when its last beat on the log is older.
+	renewLimit = 6 * time.Second
+	// Gates claim one after the other, spread over this time.
+	claimSpread = 400 * time.Millisecond
+	readWait    = 700 * time.Millisecond
+	callTimeout = 1200 * time.Millisecond
+	retryPause  = 100 * time.Millisecond
+	beatRetry   = 300 * time.Millisecond
+)
+
+// View is what a gate believes of the ownership.
+type View struct {
+	name    string
+	address string
+	epoch   int64
+	seen    time.Duration // when its last record arrived, since boot
+	left    bool
+}
+
+// Name returns the owner's name, empty if none is known.
+func (v View) Name() string { return v.name }
+
+// Address returns where gates reach the owner.
+func (v View) Address() string { return v.address }
+
+// Epoch returns the number of the ownership; a later one is higher.
+func (v View) Epoch() int64 { return v.epoch }
+
+// Keeper follows the ownership and claims it when it is free.
+type Keeper struct {
+	log     ports.Log
+	name    string
+	address string
+
+	mu       sync.Mutex
+	view     View
+	mine     int64         // epoch of this gate's own claim that is in force, 0 for none
+	stopped  bool          // this gate claims no more
+	beaten   time.Duration // when the last beat known to be on the log was sent, since boot
+	life     string        // tells this run of the process from others of the same name
+	sequence int64
+	sent     map[int64]time.Duration
+	changed  chan struct{}
+	next     int64 // offset of the first record that was not read
+	end      int64 // where the topic ended when this gate last heard of it
+	readOK   time.Duration // start of the last read that was answered, since boot
+	eligible func() bool
+}
+
+// New returns a keeper for the gate of that name, whose peers reach it at the address. It claims only while eligible
+// returns true.
+func New(log ports.Log, name, address string, eligible func() bool) *Keeper {
+	return &Keeper{
+		log: log, name: name, address: address, eligible: eligible, life: rand.Text(),
+		sent: map[int64]time.Duration{}, changed: make(chan struct{}, 1),
+	}
+}
+
+// View returns what the gate believes of the ownership.
+func (k *Keeper) View() View {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.view
+}
+
+// Learn takes over a newer view that a peer has.
+func (k *Keeper) Learn(name, address string, epoch int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if epoch > k.view.epoch {
+		klog.InfoS("owner-learned", "owner", name, "epoch", epoch)
+		k.view = View{name: name, address: address, epoch: epoch, seen: timer.SinceBoot()}
+		k.notify()
+	}
+}
+
+// Changed ticks when the view may have changed.
+func (k *Keeper) Changed() <-chan struct{} { return k.changed }
+
+// Mine returns the epoch under which this gate is owner, 0 if it is not.
+func (k *Keeper) Mine() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.mine
+}
+
+// MayOrder tells whether an owner may give orders.
+func (k *Keeper) MayOrder() bool { return k.fresh(orderLimit) }
+
+// MayRenew tells whether an owner may renew what runs.
+func (k *Keeper) MayRenew() bool { return k.fresh(renewLimit) }
+
+// LastGrant returns how long from now on the owner before may still renew what runs.
+func (k *Keeper) LastGrant() time.Duration {
+	return renewLimit - silence
+}
+
+func (k *Keeper) fresh(limit time.Duration) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.mine != 0 && timer.SinceBoot()-k.beaten < limit
+}
+
+// Lost ends this gate's ownership, since a higher epoch was met.
+func (k *Keeper) Lost(why string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.mine != 0 {
+		klog.InfoS("ownership-lost", "epoch", k.mine, "why", why)
+		k.mine = 0
+		k.notify()
+	}
+}
+
+// Release gives the ownership up, so that another gate claims it at once, and claims no more.
+func (k *Keeper) Release(ctx context.Context) {
+	k.mu.Lock()
+	k.stopped = true
+	epoch := k.mine
+	k.mine = 0
+	k.notify()
+	k.mu.Unlock()
+	if epoch == 0 {
+		return
+	}
+	err := k.append(ctx, kindRelease)
+	if errors.Is(err, ports.ErrMoved) {
+		_ = k.read(ctx)
+		err = k.append(ctx, kindRelease)
+	}
+	klog.InfoS("ownership-released", "epoch", epoch, "error", errText(err))
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func (k *Keeper) notify() {
+	select {
+	case k.changed <- struct{}{}:
+	default:
+	}
+}
+
+// kind tells the notes on the owner's topic apart.
+type kind string
+
+const (
+	kindClaim   kind = "claim"
+	kindBeat    kind = "beat"
+	kindRelease kind = "release"
+)
+
+// note is a record of the owner's topic.
+type note struct {
+	Kind    kind   `json:"kind"`
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Life    string `json:"life"`
+	Number  int64  `json:"number"`
+}
+
+// Follow reads the topic until the context ends, and claims the ownership when it is free.
+func (k *Keeper) Follow(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := k.read(ctx); err != nil {
+			sleep(ctx, retryPause)
+			continue
+		}
+		if k.free() {
+			k.claim(ctx)
+		}
+	}
+	return ctx.Err()
+}
+
+func (k *Keeper) read(ctx context.Context) error {
+	started := timer.SinceBoot()
+	k.mu.Lock()
+	from := k.next
+	wait := readWait
+	if k.view.left || k.view.name == "" {
+		wait = 0
+	}
+	k.mu.Unlock()
+	readCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	page, err := k.log.Read(readCtx, topic, from, wait)
+	if errors.Is(err, ports.ErrTrimmed) {
+		k.mu.Lock()
+		k.next = page.First
+		k.mu.Unlock()
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.readOK = started
+	for i, record := range page.Records {
+		k.fold(page.From+int64(i), record)
+	}
+	k.next = page.Next()
+	k.end = max(k.end, k.next)
+	return nil
+}
+
+// fold takes over one record of the topic.
+func (k *Keeper) fold(offset int64, record []byte) {
+	var n note
+	if err := json.Unmarshal(record, &n); err != nil {
+		klog.ErrorS(err, "owner-record-unreadable", "offset", offset)
+		return
+	}
+	now := timer.SinceBoot()
+	switch n.Kind {
+	case kindClaim:
+		klog.InfoS("owner-claimed", "owner", n.Name, "epoch", offset+1)
+		k.view = View{name: n.Name, address: n.Address, epoch: offset + 1, seen: now}
+		k.foldClaim(n, offset+1)
+		k.notify()
+	case kindBeat:
+		k.view.seen = now
+		if n.Life == k.life {
+			k.beatenAt(n.Number)
+		}
+	case kindRelease:
+		k.view.left = true
+		k.notify()
+	}
+}
+
+// foldClaim makes this gate the owner by its own claim, and ends its ownership by another's.
+func (k *Keeper) foldClaim(n note, epoch int64) {
+	if n.Life == k.life && !k.stopped {
+		k.mine = epoch
+		k.beaten = k.sent[n.Number]
+		return
+	}
+	if k.mine != 0 && k.mine < epoch {
+		klog.InfoS("ownership-lost", "epoch", k.mine, "why", "another gate claimed it")
+		k.mine = 0
+	}
+}
+
+func (k *Keeper) beatenAt(number int64) {
+	if at, found := k.sent[number]; found {
+		k.beaten = max(k.beaten, at)
+		delete(k.sent, number)
+	}
+}
+
+// free tells whether this gate should claim the ownership.
+func (k *Keeper) free() bool {
+	if !k.eligible() {
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.stopped || k.mine != 0 {
+		return false
+	}
+	if k.view.name == "" || k.view.left {
+		return true
+	}
+	patience := silence + k.turn()
+	return timer.SinceBoot()-k.view.seen > patience && k.readOK > k.view.seen+patience/2
+}
+
+// turn spreads the claims of gates over time.
+func (k *Keeper) turn() time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(k.name))
+	return time.Duration(h.Sum32()%uint32(claimSpread/time.Millisecond)) * time.Millisecond
+}
+
+func (k *Keeper) claim(ctx context.Context) {
+	k.mu.Lock()
+	end := k.next
+	k.mu.Unlock()
+	err := k.append(ctx, kindClaim)
+	klog.InfoS("ownership-claim", "epoch", end+1, "error", errText(err))
+}
+
+// append writes a note if nothing was written since this gate last read the topic.
+func (k *Keeper) append(ctx context.Context, what kind) error {
+	k.mu.Lock()
+	k.sequence++
+	n := note{Kind: what, Name: k.name, Address: k.address, Life: k.life, Number: k.sequence}
+	k.sent[n.Number] = timer.SinceBoot()
+	end := k.end
+	k.mu.Unlock()
+	record, err := json.Marshal(n)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	offset, err := k.log.Append(ctx, ports.Append{Topic: topic, Records: [][]byte{record}, EndsAt: end})
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.end = max(k.end, offset+1)
+	if what == kindBeat {
+		k.beatenAt(n.Number)
+	}
+	return nil
+}
+
+// Beat keeps the ownership, while this gate has it, until the context ends.
+func (k *Keeper) Beat(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause := beatPeriod
+		if epoch := k.Mine(); epoch != 0 && !k.beat(ctx, epoch) {
+			pause = beatRetry
+		}
+		sleep(ctx, pause)
+	}
+	return ctx.Err()
+}
+
+// beat tells whether a beat was acknowledged. If the topic has moved on, the reader finds out what that means.
+func (k *Keeper) beat(ctx context.Context, epoch int64) bool {
+	err := k.append(ctx, kindBeat)
+	if err != nil {
+		klog.InfoS("beat-failed", "epoch", epoch, "error", err.Error())
+	}
+	return err == nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
