Serve waves, move machines to where work waits, and pack lasting tasks

A lasting task counted as at work from its start on, so that waves took too many. Ruled out: one task of a lasting step a worker (MaxUnavailable), since the pool needs too many machines then.

--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -58,8 +58,8 @@
 }
 
 func (m *Machine) beginDueRounds(now time.Time) {
-	for _, j := range m.jobs {
-		if !j.spec.Timed() || !j.live() {
+	for j := range m.open {
+		if !j.spec.Timed() {
 			continue
 		}
 		for len(j.rounds) < j.spec.Rounds() && !now.Before(j.spec.Due(len(j.rounds))) {
--- a/core/sched/fold.go
+++ b/core/sched/fold.go
@@ -24,6 +24,10 @@
 		m.inbox = r.Offset
 	case JobSaved:
 		m.foldSaved(r)
+	case WaveSeen:
+		m.foldWaveSeen(r)
+	case MachineServed:
+		m.foldServed(r)
 	case SnapshotEnded:
 		if len(m.jobs) != r.Jobs {
 			return eris.Errorf("snapshot of %d jobs replayed to %d", r.Jobs, len(m.jobs))
@@ -37,6 +41,9 @@
 // reset forgets all state that comes from the journal.
 func (m *Machine) reset() {
 	clear(m.jobs)
+	clear(m.open)
+	clear(m.waveSeen)
+	clear(m.served)
 	clear(m.early)
 	clear(m.workers)
 	clear(m.teams)
@@ -54,7 +61,11 @@
 		delete(m.early, spec.ID)
 		j.cancelled = true
 	}
-	if j.live() && !spec.Timed() {
+	if !j.live() {
+		return j
+	}
+	m.open[j] = true
+	if !spec.Timed() {
 		m.beginRound(j)
 	}
 	return j
@@ -96,6 +107,7 @@
 		return
 	}
 	j.cancelled = true
+	delete(m.open, j)
 	for _, round := range j.rounds {
 		for _, s := range round.steps {
 			m.queue(s)
@@ -125,7 +137,7 @@
 	if t.waits() {
 		s.waiting--
 	}
-	r := &run{task: t, attempt: attempt, worker: w, percent: fullSpeed, paced: fullSpeed, load: -1}
+	r := &run{task: t, attempt: attempt, worker: w, paced: fullSpeed, load: -1}
 	t.attempts = max(t.attempts, attempt)
 	t.runs = append(t.runs, r)
 	s.running++
@@ -247,6 +259,7 @@
 // conclude gives the job its final state.
 func (m *Machine) conclude(j *job, outcome State, now time.Time) {
 	j.outcome, j.ended = outcome, now
+	delete(m.open, j)
 	for _, r := range j.rounds {
 		for _, s := range r.steps {
 			m.queue(s)
--- a/core/sched/intake.go
+++ b/core/sched/intake.go
@@ -46,7 +46,10 @@
 	if j.cancelled {
 		m.forgetLater(j, now)
 	}
-	m.moves.arrived(now, j)
+	if j.live() {
+		_, coreSeconds := spec.Size()
+		m.moves.arrived(now, m.poolNameOf(j), coreSeconds)
+	}
 }
 
 // Cancel notes that a job's caller no longer wants it, and tells whether the job is known.
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -181,7 +181,7 @@
 
 func (t *task) atWork() bool {
 	for _, r := range t.runs {
-		if r.phase == runConfirmed && r.percent >= fullSpeed {
+		if r.phase == runConfirmed && r.percent >= fullSpeed && !r.leaving && !r.stopping {
 			return true
 		}
 	}
@@ -221,6 +221,7 @@
 	began     time.Time // when the worker was known to run it
 	settled   time.Time // a worker that does not list the run in an answer to a later call does not have it
 	stopping  bool
+	leaving   bool // its machine is about to be taken away
 	stopSent  time.Time
 	percent   int
 	load      int
--- a/core/sched/list.go
+++ b/core/sched/list.go
@@ -9,6 +9,11 @@
 	for id, e := range entries {
 		m.listWorker(now, id, e)
 	}
+	for id := range m.departed {
+		if _, listed := entries[id]; !listed {
+			delete(m.departed, id)
+		}
+	}
 	for id, w := range m.workers {
 		if _, listed := entries[id]; !listed && w.listed {
 			m.unlist(now, w)
@@ -17,6 +22,9 @@
 }
 
 func (m *Machine) listWorker(now time.Time, id string, e WorkerEntry) {
+	if born, left := m.departed[id]; left && (born == 0 || e.Born <= born) {
+		return
+	}
 	w := m.workerOf(id)
 	if !w.listed {
 		m.decide(now, "worker-listed", "", id, e.Pool)
--- a/core/sched/machine.go
+++ b/core/sched/machine.go
@@ -13,23 +13,28 @@
 	begun   time.Time
 	fenced  bool
 
-	jobs      map[string]*job
-	early     map[string]bool // cancelled before the job itself arrived
-	workers   map[string]*worker
-	teams     map[string]*team
-	pools     map[string]*pool
-	inbox     int64
-	finished  []*job // in the order in which they ended
-	machines  map[string]*machine
-	waves     map[int64]*wave
-	moves     movePlan
-	snapshot  bool // records of a snapshot that is not whole are being replayed
-	counters  Counters
-	out       Batch
-	now       []Order
-	touched   map[*job]bool // jobs whose state changed since the last Take
-	saw       map[*worker]bool
-	decisions []Decision
+	jobs           map[string]*job
+	early          map[string]bool // cancelled before the job itself arrived
+	workers        map[string]*worker
+	teams          map[string]*team
+	pools          map[string]*pool
+	inbox          int64
+	finished       []*job // in the order in which they ended
+	machines       map[string]*machine
+	waves          map[int64]*wave
+	moves          movePlan
+	open           map[*job]bool    // jobs that are neither cancelled nor ended
+	departed       map[string]int64 // workers whose machine was taken, with their incarnation
+	waveSeen       map[int64]int64  // when waves became known, in Unix milliseconds
+	served         map[servedKey]bool
+	planned        time.Time // when machines were last planned
+	machinesListed time.Time
+	counters       Counters
+	out            Batch
+	now            []Order
+	touched        map[*job]bool // jobs whose state changed since the last Take
+	saw            map[*worker]bool
+	decisions      []Decision
 }
 
 // team counts what runs for an organisation.
@@ -77,6 +82,7 @@
 		cfg:     setup.New(0, nil, nil, nil, setup.Limits{}),
 		jobs:    map[string]*job{}, early: map[string]bool{}, workers: map[string]*worker{},
 		teams: map[string]*team{}, pools: map[string]*pool{}, machines: map[string]*machine{},
+		open: map[*job]bool{}, departed: map[string]int64{}, waveSeen: map[int64]int64{}, served: map[servedKey]bool{},
 		waves: map[int64]*wave{}, touched: map[*job]bool{}, saw: map[*worker]bool{},
 	}
 }
@@ -165,8 +171,8 @@
 // Pending returns how many accepted jobs of the queue no worker has begun.
 func (m *Machine) Pending(queue string) int {
 	n := 0
-	for _, j := range m.jobs {
-		if j.spec.Queue == queue && j.live() && !j.begun {
+	for j := range m.open {
+		if j.spec.Queue == queue && !j.begun {
 			n++
 		}
 	}
--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -1,65 +1,254 @@
 package sched
 
 import (
+	"cmp"
+	"slices"
 	"time"
+
+	"mangowing/core/setup"
+)
+
+const (
+	// An order to a machine without an answer may still take effect this long after it was given.
+	machineDoubt = 4 * time.Second
+	// Delay between the end of a move or of maintenance and the entry of the new worker.
+	joinMargin = 400 * time.Millisecond
 )
 
 // machine is a machine of the fleet; its workers are lives of it.
 type machine struct {
-	entry   MachineEntry
-	ordered time.Time // when it was last told to move or to go down
+	entry    MachineEntry
+	heading  string    // pool that it was told to move to, empty if it is not moving
+	serving  int64     // wave that it was told to go down for, 0 for none
+	ordered  time.Time // when it was last told to move or to go down
+	answered bool      // the order took effect
+	refused  time.Time // it refused an order; not asked again before
 }
 
-// wave is a maintenance wave with what is left of it.
-type wave struct {
-	spec    Wave
-	done    map[string]bool
-	started map[string]time.Time
-	told    bool
+// busy tells whether an order to the machine may still be under way.
+func (h *machine) busy(now time.Time, o Options) bool {
+	switch {
+	case h.ordered.IsZero():
+		return false
+	case !h.answered:
+		return now.Sub(h.ordered) < machineDoubt
+	case h.serving != 0:
+		return now.Sub(h.ordered) < o.Maintenance+joinMargin
+	default:
+		return now.Sub(h.ordered) < o.Migration+joinMargin
+	}
 }
 
 // ListMachines notes the machines that the platform lists.
-func (m *Machine) ListMachines(_ time.Time, entries []MachineEntry) {
+func (m *Machine) ListMachines(now time.Time, entries []MachineEntry) {
 	seen := map[string]bool{}
 	for _, e := range entries {
 		seen[e.ID] = true
-		if known, found := m.machines[e.ID]; found {
-			known.entry = e
-			continue
+		known, found := m.machines[e.ID]
+		if !found {
+			known = &machine{}
+			m.machines[e.ID] = known
+		}
+		known.entry = e
+		if e.State == MachineUp && !known.busy(now, m.options) {
+			known.heading, known.serving = "", 0
 		}
-		m.machines[e.ID] = &machine{entry: e}
 	}
 	for id := range m.machines {
 		if !seen[id] {
 			delete(m.machines, id)
 		}
 	}
+	m.machinesListed = now
 }
 
-// AddWave notes a wave that the operators ask for.
-func (m *Machine) AddWave(now time.Time, spec Wave) {
-	if _, known := m.waves[spec.Number]; known {
+// planMachines gives the orders for maintenance and moves that are due.
+func (m *Machine) planMachines(now time.Time) {
+	if now.Sub(m.planned) < planPeriod || m.machinesListed.IsZero() || m.cfg.Version() == 0 || now.Sub(m.begun) < settleTime {
 		return
 	}
-	spec.Seen = now
-	m.waves[spec.Number] = &wave{spec: spec, done: map[string]bool{}, started: map[string]time.Time{}}
+	m.planned = now
+	byMachine := m.workersByMachine()
+	demand := m.measureDemand(now, byMachine)
+	m.planWaves(now, byMachine, demand)
+	if m.options.MovePool {
+		m.planMoves(now, byMachine, demand)
+	}
 }
 
-func (m *Machine) planMachines(time.Time) {}
+const (
+	planPeriod = 100 * time.Millisecond
+	// A new owner learns what runs where before it takes machines away.
+	settleTime = 1200 * time.Millisecond
+)
 
-func (m *Machine) applyMove(_ time.Time, rep MoveReport) {
-	if rep.Answer == Fenced {
-		m.fenced = true
+func (m *Machine) workersByMachine() map[string]*worker {
+	byMachine := make(map[string]*worker, len(m.workers))
+	for _, w := range m.workers {
+		if w.listed && w.entry.Machine != "" {
+			byMachine[w.entry.Machine] = w
+		}
+	}
+	return byMachine
+}
+
+// idle tells whether nothing runs on the worker and it is known well enough to be taken away.
+func (w *worker) idle() bool {
+	return len(w.runs) == 0 && w.verified && w.silent == 0 && !w.entry.Draining
+}
+
+// lasting tells whether a task that lasts runs on the worker.
+func (w *worker) lasting() bool {
+	for _, r := range w.runs {
+		if r.needs().Lasting {
+			return true
+		}
+	}
+	return false
+}
+
+// batch counts the runs on the worker that end by themselves.
+func (w *worker) batch() int {
+	n := 0
+	for _, r := range w.runs {
+		if !r.needs().Lasting {
+			n++
+		}
+	}
+	return n
+}
+
+// mayTake tells whether all lasting tasks on the worker may be taken away now without too many of their step being
+// away at once.
+func (w *worker) mayTake() bool {
+	leaving := map[*step]int{}
+	for _, r := range w.runs {
+		if s := r.task.step; s.spec.MaxUnavailable > 0 {
+			leaving[s]++
+		}
+	}
+	for s, n := range leaving {
+		if s.away()+n > s.spec.MaxUnavailable {
+			return false
+		}
+	}
+	return true
+}
+
+// leave marks the lasting tasks on the worker as away, and cordons it.
+func (w *worker) leave() {
+	w.cordoned = true
+	for _, r := range w.runs {
+		r.leaving = true
+	}
+}
+
+func (w *worker) stay() {
+	w.cordoned = false
+	for _, r := range w.runs {
+		r.leaving = false
+	}
+}
+
+// taken ends what ran on a machine that was moved or taken down.
+func (m *Machine) taken(now time.Time, id string, why string) {
+	for _, w := range m.workers {
+		if w.entry.Machine == id && w.listed {
+			m.departed[w.id] = w.born
+			m.gone(now, w, why)
+		}
+	}
+}
+
+// released uncordons the worker of a machine that was not taken after all.
+func (m *Machine) released(id string) {
+	for _, w := range m.workers {
+		if w.entry.Machine == id {
+			w.stay()
+			m.wake(w.entry.Pool)
+		}
+	}
+}
+
+// orderMachine notes an order to a machine.
+func (m *Machine) orderMachine(now time.Time, h *machine, w *worker, o Order) {
+	h.ordered, h.answered = now, false
+	if w != nil {
+		w.leave()
+	}
+	m.orderNow(o)
+}
+
+func (m *Machine) applyMove(now time.Time, rep MoveReport) {
+	m.applyMachine(now, rep.Order.Machine, rep.Answer, "moved to "+rep.Order.Pool)
+}
+
+func (m *Machine) applyService(now time.Time, rep ServiceReport) {
+	if rep.Answer == OK {
+		m.noteServed(now, rep.Order.Wave, rep.Order.Machine)
 	}
+	m.applyMachine(now, rep.Order.Machine, rep.Answer, "down for maintenance")
 }
 
-func (m *Machine) applyService(_ time.Time, rep ServiceReport) {
-	if rep.Answer == Fenced {
+func (m *Machine) applyMachine(now time.Time, id string, answer Answer, why string) {
+	h, found := m.machines[id]
+	if !found {
+		return
+	}
+	switch answer {
+	case OK:
+		h.answered, h.ordered = true, now
+		m.taken(now, id, why)
+	case Unknown:
+		m.decide(now, "machine-order-unanswered", "", id, why)
+	case Fenced:
 		m.fenced = true
+	default:
+		m.decide(now, "machine-order-refused", "", id, answer.String()+": "+why)
+		h.refused = now.Add(refusedPause)
+		h.heading, h.serving, h.ordered = "", 0, time.Time{}
+		m.released(id)
 	}
 }
 
-// movePlan forecasts each pool's demand.
-type movePlan struct{}
+// poolDemand is what a pool has and needs.
+type poolDemand struct {
+	name     string
+	machines int     // up or on their way
+	perVM    float64 // cores of a machine
+	cores    float64 // cores needed
+	need     int     // machines needed
+	idle     []*worker
+}
 
-func (movePlan) arrived(time.Time, *job) {}
+// measureDemand compares what each pool has with what its work needs.
+func (m *Machine) measureDemand(now time.Time, byMachine map[string]*worker) map[string]*poolDemand {
+	demand := map[string]*poolDemand{}
+	for _, name := range m.cfg.Pools() {
+		demand[name] = &poolDemand{name: name}
+	}
+	for _, id := range sortedIDs(m.machines) {
+		h := m.machines[id]
+		pool := cmp.Or(h.heading, h.entry.Pool)
+		d, found := demand[pool]
+		if !found || h.entry.State == MachineDown && h.heading == "" {
+			continue
+		}
+		d.machines++
+		d.perVM = max(d.perVM, setup.Resources{CPU: h.entry.Capacity.CPU, GPU: h.entry.Capacity.GPU}.Cores())
+		if w := byMachine[id]; w != nil && h.heading == "" && h.serving == 0 && w.idle() && !w.cordoned && w.entry.Pool == pool {
+			d.idle = append(d.idle, w)
+		}
+	}
+	m.moves.measure(now, m, demand)
+	return demand
+}
+
+func sortedIDs(machines map[string]*machine) []string {
+	ids := make([]string, 0, len(machines))
+	for id := range machines {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/core/sched/moves.go
@@ -0,0 +1,244 @@
+package sched
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// Work that waits is done in this time if the pool has the cores that it needs.
+	workHorizon = 1600 * time.Millisecond
+	// Arrivals of this time tell the rate at which work comes.
+	rateWindow  = 800 * time.Millisecond
+	rateBuckets = 8
+	// Share of a pool's cores that can be in use; the rest is lost to what does not fit.
+	fillShare = 0.85
+	// Idle machines are sent away after the pool had too many for this time.
+	surplusPatience = 700 * time.Millisecond
+	// Machines that a pool keeps idle for the start of its next turn.
+	reserveMachines = 1
+)
+
+// movePlan forecasts each pool's demand from the jobs that arrive.
+type movePlan struct {
+	pools map[string]*poolTrend
+}
+
+// poolTrend is how much work came to a pool lately.
+type poolTrend struct {
+	buckets [rateBuckets]float64 // core-seconds
+	bucket  int64
+	surplus time.Time // since when the pool has more machines than it needs
+}
+
+func (p *movePlan) trend(pool string) *poolTrend {
+	if p.pools == nil {
+		p.pools = map[string]*poolTrend{}
+	}
+	t, found := p.pools[pool]
+	if !found {
+		t = &poolTrend{}
+		p.pools[pool] = t
+	}
+	return t
+}
+
+// advance empties the buckets whose time is over.
+func (t *poolTrend) advance(now time.Time) {
+	bucket := now.UnixMilli() / (rateWindow.Milliseconds() / rateBuckets)
+	for ; t.bucket < bucket; t.bucket++ {
+		if bucket-t.bucket > rateBuckets {
+			t.buckets = [rateBuckets]float64{}
+			t.bucket = bucket
+			return
+		}
+		t.buckets[(t.bucket+1)%rateBuckets] = 0
+	}
+}
+
+// rate returns the core-seconds that arrive in a second.
+func (t *poolTrend) rate(now time.Time) float64 {
+	t.advance(now)
+	sum := 0.0
+	for _, b := range t.buckets {
+		sum += b
+	}
+	return sum / rateWindow.Seconds()
+}
+
+func (p *movePlan) arrived(now time.Time, pool string, coreSeconds float64) {
+	t := p.trend(pool)
+	t.advance(now)
+	t.buckets[t.bucket%rateBuckets] += coreSeconds
+}
+
+// measure fills in how many machines each pool needs.
+func (p *movePlan) measure(now time.Time, m *Machine, demand map[string]*poolDemand) {
+	work, held, spread := map[string]float64{}, map[string]float64{}, map[string]int{}
+	for j := range m.open {
+		pool := m.poolNameOf(j)
+		batch, lasting := workLeft(j)
+		work[pool] += batch
+		held[pool] += lasting
+		spread[pool] = max(spread[pool], workersFor(j))
+	}
+	for name, d := range demand {
+		if pool, declared := m.cfg.Pool(name); declared && pool.Standby || d.perVM == 0 {
+			continue
+		}
+		d.cores = max(work[name]/workHorizon.Seconds(), p.trend(name).rate(now)) + held[name]
+		d.need = max(int(math.Ceil(d.cores/(d.perVM*fillShare)))+reserveMachines, spread[name])
+	}
+}
+
+// workLeft returns the core-seconds of a job's undone tasks that end by themselves, and the cores of those that last.
+func workLeft(j *job) (batch, lasting float64) {
+	for _, r := range j.rounds {
+		for _, s := range r.steps {
+			if s.done() {
+				continue
+			}
+			cores := s.spec.Needs().Cores()
+			if s.spec.Lasting {
+				lasting += float64(s.spec.Count) * cores
+				continue
+			}
+			batch += (float64(s.waiting) + float64(s.undone-s.waiting)/2) * cores * s.spec.Estimate().Seconds()
+		}
+	}
+	return batch, lasting
+}
+
+// workersFor returns over how many workers the job's lasting steps have to be spread.
+func workersFor(j *job) int {
+	n := 0
+	for i := range j.spec.Steps {
+		spec := &j.spec.Steps[i]
+		if !spec.Lasting {
+			continue
+		}
+		n = max(n, min(spec.Count, lastingWorkers))
+		if spec.MostPerWorker > 0 {
+			n = max(n, (spec.Count+spec.MostPerWorker-1)/spec.MostPerWorker)
+		}
+	}
+	return n
+}
+
+// planMoves sends machines to the pools that lack them: idle ones of the standby pool first, then idle ones of pools that
+// have too many, and sends those that nobody needs to the standby pool.
+func (m *Machine) planMoves(now time.Time, byMachine map[string]*worker, demand map[string]*poolDemand) {
+	standby := m.standbyPool()
+	donors := m.donors(now, standby, byMachine, demand)
+	for _, d := range byShortage(demand) {
+		for d.machines < d.need && len(donors) > 0 {
+			h := donors[0]
+			donors = donors[1:]
+			if h.entry.Pool == d.name {
+				continue
+			}
+			m.move(now, h, byMachine[h.entry.ID], d.name)
+			d.machines++
+		}
+	}
+	if standby == "" {
+		return
+	}
+	for _, d := range demand {
+		m.park(now, d, standby)
+	}
+}
+
+func (m *Machine) standbyPool() string {
+	for _, name := range m.cfg.Pools() {
+		if p, _ := m.cfg.Pool(name); p.Standby {
+			return name
+		}
+	}
+	return ""
+}
+
+// donors returns the machines that may move: those on standby, then idle ones that their pool does not need.
+func (m *Machine) donors(now time.Time, standby string, byMachine map[string]*worker, demand map[string]*poolDemand) []*machine {
+	var donors []*machine
+	for _, id := range sortedIDs(m.machines) {
+		h := m.machines[id]
+		if h.entry.Pool == standby && m.movable(now, h) && byMachine[id] == nil {
+			donors = append(donors, h)
+		}
+	}
+	for _, name := range m.cfg.Pools() {
+		d := demand[name]
+		if name == standby {
+			continue
+		}
+		spare := d.machines - d.need
+		for _, w := range d.idle {
+			h := m.machines[w.entry.Machine]
+			if spare > 0 && h != nil && m.movable(now, h) {
+				donors = append(donors, h)
+				spare--
+			}
+		}
+	}
+	return donors
+}
+
+func (m *Machine) movable(now time.Time, h *machine) bool {
+	return h.entry.State == MachineUp && h.heading == "" && h.serving == 0 && !h.busy(now, m.options) && !now.Before(h.refused)
+}
+
+// byShortage sorts the pools that lack machines, the worst first.
+func byShortage(demand map[string]*poolDemand) []*poolDemand {
+	var short []*poolDemand
+	for _, d := range demand {
+		if d.machines < d.need {
+			short = append(short, d)
+		}
+	}
+	slices.SortFunc(short, func(a, b *poolDemand) int {
+		if lack := (b.need - b.machines) - (a.need - a.machines); lack != 0 {
+			return lack
+		}
+		if a.name < b.name {
+			return -1
+		}
+		return 1
+	})
+	return short
+}
+
+// park sends idle machines that a pool did not need for a while to the standby pool.
+func (m *Machine) park(now time.Time, d *poolDemand, standby string) {
+	t := m.moves.trend(d.name)
+	switch {
+	case d.name == standby:
+		return
+	case d.machines <= d.need:
+		t.surplus = time.Time{}
+		return
+	case t.surplus.IsZero():
+		t.surplus = now
+	}
+	if now.Sub(t.surplus) < surplusPatience {
+		return
+	}
+	for _, w := range d.idle {
+		h := m.machines[w.entry.Machine]
+		if d.machines <= d.need {
+			return
+		}
+		if h == nil || !m.movable(now, h) || w.cordoned {
+			continue
+		}
+		m.move(now, h, w, standby)
+		d.machines--
+	}
+}
+
+func (m *Machine) move(now time.Time, h *machine, w *worker, pool string) {
+	m.decide(now, "machine-moves", "", h.entry.ID, h.entry.Pool+" to "+pool)
+	h.heading = pool
+	m.orderMachine(now, h, w, MoveMachine{Machine: h.entry.ID, Pool: pool})
+}
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -247,6 +247,14 @@
 	return false
 }
 
+// spread returns how many tasks of a lasting step should run on a worker at most, so that the loss of one is bearable.
+func (s *step) spread() int {
+	return max(1, (s.spec.Count+lastingWorkers-1)/lastingWorkers)
+}
+
+// lastingWorkers is over how many workers a lasting step is spread.
+const lastingWorkers = 3
+
 // better prefers the data's rack, then a rack that the step runs on already, then sound workers, then the fullest.
 func (m *Machine) better(s *step, needs setup.Resources, a, b *worker) bool {
 	order := cmp.Or(
@@ -261,7 +269,12 @@
 // compareLoad fills workers up with ordinary work; tasks that fill go where the fewest serving tasks run.
 func (m *Machine) compareLoad(s *step, a, b *worker) int {
 	if s.spec.Fills || s.spec.Lasting {
-		return cmp.Or(cmp.Compare(a.clash(s.spec), b.clash(s.spec)), cmp.Compare(b.free().CPU, a.free().CPU))
+		return cmp.Or(
+			cmp.Compare(a.clash(s.spec), b.clash(s.spec)),
+			compareBool(s.perVM[a.id] < s.spread(), s.perVM[b.id] < s.spread()),
+			compareBool(a.lasting(), b.lasting()),
+			cmp.Compare(b.free().CPU, a.free().CPU),
+		)
 	}
 	return cmp.Compare(a.free().CPU, b.free().CPU)
 }
--- a/core/sched/record.go
+++ b/core/sched/record.go
@@ -8,8 +8,8 @@
 // codecVersion is the first byte of every encoded record.
 const codecVersion = 1
 
-// Record is a fact that lasts: JobAccepted, JobCancelled, TaskStarted, TaskEnded, InboxRead, SnapshotBegun, JobSaved or
-// SnapshotEnded.
+// Record is a fact that lasts: JobAccepted, JobCancelled, TaskStarted, TaskEnded, InboxRead, WaveSeen, MachineServed,
+// SnapshotBegun, JobSaved or SnapshotEnded.
 type Record interface {
 	record()
 }
@@ -50,10 +50,24 @@
 	Offset int64
 }
 
+// WaveSeen says when a wave became known.
+type WaveSeen struct {
+	_    struct{} `cbor:",toarray"`
+	Wave int64
+	AtMs int64 // Unix milliseconds
+}
+
+// MachineServed says that a machine had its maintenance for a wave.
+type MachineServed struct {
+	_       struct{} `cbor:",toarray"`
+	Wave    int64
+	Machine string
+}
+
 // SnapshotBegun says that the whole state follows, up to SnapshotEnded; what was before counts no more.
 type SnapshotBegun struct {
 	_      struct{} `cbor:",toarray"`
-	Offset int64 // inbox offset
+	Offset int64    // inbox offset
 }
 
 // JobSaved is a job with the state of its tasks, part of a snapshot.
@@ -96,6 +110,8 @@
 func (TaskStarted) record()   {}
 func (TaskEnded) record()     {}
 func (InboxRead) record()     {}
+func (WaveSeen) record()      {}
+func (MachineServed) record() {}
 func (SnapshotBegun) record() {}
 func (JobSaved) record()      {}
 func (SnapshotEnded) record() {}
@@ -112,6 +128,8 @@
 	tagSnapshotBegun
 	tagJobSaved
 	tagSnapshotEnded
+	tagWaveSeen
+	tagMachineServed
 )
 
 // Encode returns the record's compact binary form.
@@ -141,6 +159,10 @@
 		return tagJobSaved
 	case SnapshotEnded:
 		return tagSnapshotEnded
+	case WaveSeen:
+		return tagWaveSeen
+	case MachineServed:
+		return tagMachineServed
 	default:
 		return 0
 	}
@@ -168,6 +190,10 @@
 		return decodeAs[JobSaved](b[2:])
 	case tagSnapshotEnded:
 		return decodeAs[SnapshotEnded](b[2:])
+	case tagWaveSeen:
+		return decodeAs[WaveSeen](b[2:])
+	case tagMachineServed:
+		return decodeAs[MachineServed](b[2:])
 	default:
 		return nil, eris.Errorf("record has the unknown tag %d", b[1])
 	}
--- a/core/sched/snapshot.go
+++ b/core/sched/snapshot.go
@@ -9,6 +9,12 @@
 	for _, j := range m.jobs {
 		records = append(records, saveJob(j))
 	}
+	for number, at := range m.waveSeen {
+		records = append(records, WaveSeen{Wave: number, AtMs: at})
+	}
+	for key := range m.served {
+		records = append(records, MachineServed{Wave: key.wave, Machine: key.machine})
+	}
 	return append(records, SnapshotEnded{Jobs: len(m.jobs)})
 }
 
@@ -56,6 +62,9 @@
 		}
 	}
 	j.cancelled, j.outcome = r.Cancelled, r.Outcome
+	if !j.live() {
+		delete(m.open, j)
+	}
 	if r.EndedMs > 0 {
 		j.ended = time.UnixMilli(r.EndedMs)
 	}
--- a/core/sched/spec.go
+++ b/core/sched/spec.go
@@ -52,6 +52,16 @@
 	return false
 }
 
+// Size returns how many tasks a round of the job has, and their estimated work in core-seconds.
+func (s *JobSpec) Size() (tasks int, coreSeconds float64) {
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		tasks += step.Count
+		coreSeconds += float64(step.Count) * step.Uses().Cores() * step.Estimate().Seconds()
+	}
+	return tasks, coreSeconds
+}
+
 // StepSpec is one step of a job: a number of like tasks.
 type StepSpec struct {
 	_              struct{} `cbor:",toarray"`
--- a/gate/lead/term.go
+++ b/gate/lead/term.go
@@ -287,7 +287,9 @@
 		c.reply <- Refuse(codes.JobPoolFull, after)
 		return
 	}
-	klog.V(1).InfoS("job-taken", "job", c.spec.ID, "queue", c.spec.Queue, "repeated", verdict == sched.Repeated)
+	tasks, coreSeconds := c.spec.Size()
+	klog.InfoS("job-taken", "job", c.spec.ID, "queue", c.spec.Queue, "team", c.spec.Team, "repeated", verdict == sched.Repeated,
+		"tasks", tasks, "core-seconds", coreSeconds, "lasting", c.spec.Lasting())
 	t.replies = append(t.replies, reply{c.reply, Answer{}})
 }
 
