--- a/core/sched/apply.go
+++ b/core/sched/apply.go
@@ -69,7 +69,14 @@
 	case Done:
 		w.faults = 0
 	case Faulted:
+		if r.needs().Lasting && r.phase == runConfirmed && now.Sub(r.began) >= lastingSound {
+			return
+		}
 		r.task.avoid = w.id
+		if !w.suspect(now) {
+			w.faults = 0
+		}
+		w.faulted = now
 		if w.faults++; w.faults >= faultsToRest {
 			w.rest = now.Add(restTime)
 			m.decide(now, "worker-rests", r.task.id().String(), w.id, "failed attempts in a row")
--- a/core/sched/intake.go
+++ b/core/sched/intake.go
@@ -48,7 +48,7 @@
 	}
 	if j.live() {
 		_, coreSeconds := spec.Size()
-		m.moves.arrived(now, m.poolNameOf(j), coreSeconds)
+		m.turns.arrived(now, m.poolNameOf(j), coreSeconds)
 	}
 }
 
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -181,7 +181,8 @@
 
 func (t *task) atWork() bool {
 	for _, r := range t.runs {
-		if r.phase == runConfirmed && r.percent >= fullSpeed && !r.leaving && !r.stopping {
+		heard := r.worker.verified && r.worker.silent == 0
+		if heard && r.phase == runConfirmed && r.percent >= fullSpeed && !r.leaving && !r.stopping {
 			return true
 		}
 	}
--- a/core/sched/list.go
+++ b/core/sched/list.go
@@ -28,7 +28,7 @@
 	w := m.workerOf(id)
 	if !w.listed {
 		m.decide(now, "worker-listed", "", id, e.Pool)
-		w.listed, w.nextHold = true, now
+		w.listed, w.listedAt, w.nextHold = true, now, now
 		if w.lapse.IsZero() && len(w.runs) > 0 {
 			w.lapse = now.Add(m.options.lapseAfter())
 		}
--- a/core/sched/machine.go
+++ b/core/sched/machine.go
@@ -22,12 +22,14 @@
 	finished       []*job // in the order in which they ended
 	machines       map[string]*machine
 	waves          map[int64]*wave
-	moves          movePlan
+	turns          turnPlan
 	open           map[*job]bool    // jobs that are neither cancelled nor ended
 	departed       map[string]int64 // workers whose machine was taken, with their incarnation
 	waveSeen       map[int64]int64  // when waves became known, in Unix milliseconds
 	served         map[servedKey]bool
-	planned        time.Time // when machines were last planned
+	planned        time.Time              // when machines were last planned
+	demand         map[string]*poolDemand // as last measured
+	expecting      bool
 	machinesListed time.Time
 	counters       Counters
 	out            Batch
--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -13,6 +13,8 @@
 	machineDoubt = 4 * time.Second
 	// Delay between the end of a move or of maintenance and the entry of the new worker.
 	joinMargin = 400 * time.Millisecond
+	// Delay of a move at the platform.
+	moveMargin = 100 * time.Millisecond
 )
 
 // machine is a machine of the fleet; its workers are lives of it.
@@ -35,7 +37,7 @@
 	case h.serving != 0:
 		return now.Sub(h.ordered) < o.Maintenance+joinMargin
 	default:
-		return now.Sub(h.ordered) < o.Migration+joinMargin
+		return now.Sub(h.ordered) < o.Migration+moveMargin
 	}
 }
 
@@ -49,10 +51,10 @@
 			known = &machine{}
 			m.machines[e.ID] = known
 		}
-		known.entry = e
-		if e.State == MachineUp && !known.busy(now, m.options) {
-			known.heading, known.serving = "", 0
+		if found && known.busy(now, m.options) {
+			continue
 		}
+		known.entry = e
 	}
 	for id := range m.machines {
 		if !seen[id] {
@@ -62,20 +64,40 @@
 	m.machinesListed = now
 }
 
+// settleMachines takes over what the machines' orders have led to, without waiting for the next list.
+func (m *Machine) settleMachines(now time.Time) {
+	m.expecting = false
+	for _, h := range m.machines {
+		if h.busy(now, m.options) {
+			m.expecting = true
+			continue
+		}
+		if h.answered && h.heading != "" {
+			h.entry.Pool = h.heading
+		}
+		h.heading, h.serving, h.ordered, h.answered = "", 0, time.Time{}, false
+	}
+}
+
 // planMachines gives the orders for maintenance and moves that are due.
 func (m *Machine) planMachines(now time.Time) {
 	if now.Sub(m.planned) < planPeriod || m.machinesListed.IsZero() || m.cfg.Version() == 0 || now.Sub(m.begun) < settleTime {
 		return
 	}
 	m.planned = now
+	m.settleMachines(now)
 	byMachine := m.workersByMachine()
 	demand := m.measureDemand(now, byMachine)
+	m.demand = demand
 	m.planWaves(now, byMachine, demand)
 	if m.options.MovePool {
 		m.planMoves(now, byMachine, demand)
 	}
 }
 
+// Expecting tells whether machines are on their way, so that new workers are to be listed soon.
+func (m *Machine) Expecting() bool { return m.expecting }
+
 const (
 	planPeriod = 100 * time.Millisecond
 	// A new owner learns what runs where before it takes machines away.
@@ -97,6 +119,11 @@
 	return len(w.runs) == 0 && w.verified && w.silent == 0 && !w.entry.Draining
 }
 
+// healthy tells whether the worker takes new tasks, but for pauses that are soon over.
+func (w *worker) healthy() bool {
+	return w.listed && w.verified && w.silent == 0 && !w.entry.Draining && !w.cordoned
+}
+
 // lasting tells whether a task that lasts runs on the worker.
 func (w *worker) lasting() bool {
 	for _, r := range w.runs {
@@ -234,13 +261,16 @@
 		if !found || h.entry.State == MachineDown && h.heading == "" {
 			continue
 		}
-		d.machines++
+		w := byMachine[id]
+		if w == nil || w.healthy() || now.Sub(w.listedAt) < joinMargin {
+			d.machines++
+		}
 		d.perVM = max(d.perVM, setup.Resources{CPU: h.entry.Capacity.CPU, GPU: h.entry.Capacity.GPU}.Cores())
-		if w := byMachine[id]; w != nil && h.heading == "" && h.serving == 0 && w.idle() && !w.cordoned && w.entry.Pool == pool {
+		if w != nil && h.heading == "" && h.serving == 0 && w.idle() && !w.cordoned && w.entry.Pool == pool {
 			d.idle = append(d.idle, w)
 		}
 	}
-	m.moves.measure(now, m, demand)
+	m.measureNeeds(now, demand)
 	return demand
 }
 
--- a/core/sched/moves.go
+++ b/core/sched/moves.go
@@ -9,86 +9,38 @@
 const (
 	// Work that waits is done in this time if the pool has the cores that it needs.
 	workHorizon = 1600 * time.Millisecond
-	// Arrivals of this time tell the rate at which work comes.
-	rateWindow  = 800 * time.Millisecond
-	rateBuckets = 8
 	// Share of a pool's cores that can be in use; the rest is lost to what does not fit.
 	fillShare = 0.85
-	// Idle machines are sent away after the pool had too many for this time.
-	surplusPatience = 700 * time.Millisecond
+	// A lasting task that waits for longer needs another machine in its pool.
+	lastingPatience = 300 * time.Millisecond
+	// Idle machines are sent to the standby pool after this time; another pool may need them before.
+	surplusPatience = time.Second
 	// Machines that a pool keeps idle for the start of its next turn.
 	reserveMachines = 1
 )
 
-// movePlan forecasts each pool's demand from the jobs that arrive.
-type movePlan struct {
-	pools map[string]*poolTrend
-}
-
-// poolTrend is how much work came to a pool lately.
-type poolTrend struct {
-	buckets [rateBuckets]float64 // core-seconds
-	bucket  int64
-	surplus time.Time // since when the pool has more machines than it needs
-}
-
-func (p *movePlan) trend(pool string) *poolTrend {
-	if p.pools == nil {
-		p.pools = map[string]*poolTrend{}
-	}
-	t, found := p.pools[pool]
-	if !found {
-		t = &poolTrend{}
-		p.pools[pool] = t
-	}
-	return t
-}
-
-// advance empties the buckets whose time is over.
-func (t *poolTrend) advance(now time.Time) {
-	bucket := now.UnixMilli() / (rateWindow.Milliseconds() / rateBuckets)
-	for ; t.bucket < bucket; t.bucket++ {
-		if bucket-t.bucket > rateBuckets {
-			t.buckets = [rateBuckets]float64{}
-			t.bucket = bucket
-			return
-		}
-		t.buckets[(t.bucket+1)%rateBuckets] = 0
-	}
-}
-
-// rate returns the core-seconds that arrive in a second.
-func (t *poolTrend) rate(now time.Time) float64 {
-	t.advance(now)
-	sum := 0.0
-	for _, b := range t.buckets {
-		sum += b
-	}
-	return sum / rateWindow.Seconds()
-}
-
-func (p *movePlan) arrived(now time.Time, pool string, coreSeconds float64) {
-	t := p.trend(pool)
-	t.advance(now)
-	t.buckets[t.bucket%rateBuckets] += coreSeconds
-}
-
-// measure fills in how many machines each pool needs.
-func (p *movePlan) measure(now time.Time, m *Machine, demand map[string]*poolDemand) {
+// measureNeeds fills in how many machines each pool needs.
+func (m *Machine) measureNeeds(now time.Time, demand map[string]*poolDemand) {
 	work, held, spread := map[string]float64{}, map[string]float64{}, map[string]int{}
+	stuck := map[string]bool{}
 	for j := range m.open {
 		pool := m.poolNameOf(j)
 		batch, lasting := workLeft(j)
 		work[pool] += batch
 		held[pool] += lasting
 		spread[pool] = max(spread[pool], workersFor(j))
+		stuck[pool] = stuck[pool] || lastingWaits(now, j)
 	}
 	for name, d := range demand {
 		if pool, declared := m.cfg.Pool(name); declared && pool.Standby || d.perVM == 0 {
 			continue
 		}
-		d.cores = max(work[name]/workHorizon.Seconds(), p.trend(name).rate(now)) + held[name]
+		expected := m.turns.expect(now, name, float64(d.machines)*d.perVM)
+		d.cores = max(work[name]/workHorizon.Seconds(), expected) + held[name]
 		d.need = max(int(math.Ceil(d.cores/(d.perVM*fillShare)))+reserveMachines, spread[name])
+		if stuck[name] {
+			d.need = max(d.need, d.machines+1)
+		}
 	}
 }
 
@@ -110,6 +62,23 @@
 	return batch, lasting
 }
 
+// lastingWaits tells whether a lasting task of the job has waited for a worker for a while.
+func lastingWaits(now time.Time, j *job) bool {
+	for _, r := range j.rounds {
+		for _, s := range r.steps {
+			if !s.spec.Lasting || s.waiting == 0 {
+				continue
+			}
+			for _, t := range s.tasks {
+				if t.waits() && now.Sub(t.lastRun) > lastingPatience && now.Sub(s.readyAt) > lastingPatience {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // workersFor returns over how many workers the job's lasting steps have to be spread.
 func workersFor(j *job) int {
 	n := 0
@@ -211,7 +180,7 @@
 
 // park sends idle machines that a pool did not need for a while to the standby pool.
 func (m *Machine) park(now time.Time, d *poolDemand, standby string) {
-	t := m.moves.trend(d.name)
+	t := m.turns.trend(d.name)
 	switch {
 	case d.name == standby:
 		return
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -238,7 +238,7 @@
 	switch {
 	case !w.hasLabel(s.spec.Label):
 	case s.spec.MostPerWorker > 0 && s.perVM[w.id] >= s.spec.MostPerWorker:
-	case w.faults > 0 && (t.failures > 0 || len(w.runs) > 0):
+	case w.suspect(now) && (t.failures > 0 || len(w.runs) > 0):
 	case t.avoid == w.id && t.failures > 0:
 	case m.queueOf(s).Advice.Needed() && !s.hasTicket(w, now):
 	default:
--- /dev/null
+++ b/core/sched/turns.go
@@ -0,0 +1,162 @@
+package sched
+
+import (
+	"time"
+)
+
+const (
+	// Arrivals of this time tell the rate at which work comes.
+	rateWindow  = 800 * time.Millisecond
+	rateBuckets = 8
+	// Buckets that tell whether a turn begins.
+	onsetBuckets = 5
+	// A turn begins with so many jobs in these buckets, and more work than this share of what the pool's first machines
+	// can do.
+	onsetJobs  = 3
+	onsetShare = 0.3
+	// A turn is over when work comes slower than this share of its peak.
+	overShare = 0.15
+	// Peak of a pool's first turn, as a share of what its first machines can do.
+	firstPeakShare = 1.25
+	// Turns begin as machines are moved this long before.
+	moveLead = 1800 * time.Millisecond
+	// A turn that was forecast and did not come is given up after this time.
+	missedTurn = time.Second
+	// Turns are no shorter than this; a break in a turn does not end it.
+	shortestTurn = 2 * time.Second
+	// Weight of a new turn's peak against those before.
+	peakWeight = 0.6
+)
+
+// turnPlan forecasts each pool's demand: pools have turns of high demand, one after the other, again and again.
+type turnPlan struct {
+	pools map[string]*poolTrend
+	cycle time.Duration // time between two turns of a pool, 0 until one had two
+}
+
+// poolTrend is how much work came to a pool lately, and what is known of its turns.
+type poolTrend struct {
+	buckets [rateBuckets]float64 // core-seconds
+	jobs    [rateBuckets]int
+	bucket  int64
+	home    float64   // cores of the machines that the pool had at first
+	peak    float64   // core-seconds in a second of its turns, 0 if none was seen
+	work    float64   // core-seconds that came in the present turn
+	began   time.Time // start of the present or last turn
+	turning bool
+	surplus time.Time // since when the pool has more machines than it needs
+}
+
+func (p *turnPlan) trend(pool string) *poolTrend {
+	if p.pools == nil {
+		p.pools = map[string]*poolTrend{}
+	}
+	t, found := p.pools[pool]
+	if !found {
+		t = &poolTrend{}
+		p.pools[pool] = t
+	}
+	return t
+}
+
+const bucketMs = int64(rateWindow / time.Millisecond / rateBuckets)
+
+// advance empties the buckets whose time is over.
+func (t *poolTrend) advance(now time.Time) {
+	bucket := now.UnixMilli() / bucketMs
+	if bucket-t.bucket > rateBuckets {
+		t.buckets, t.jobs, t.bucket = [rateBuckets]float64{}, [rateBuckets]int{}, bucket
+	}
+	for t.bucket < bucket {
+		t.bucket++
+		t.buckets[t.bucket%rateBuckets], t.jobs[t.bucket%rateBuckets] = 0, 0
+	}
+}
+
+// rateOf returns the core-seconds that arrive in a second, from that many of the last buckets.
+func (t *poolTrend) rateOf(now time.Time, buckets int64) float64 {
+	t.advance(now)
+	sum := 0.0
+	for i := range buckets {
+		sum += t.buckets[(t.bucket-i)%rateBuckets]
+	}
+	return sum / (float64(buckets*bucketMs) / float64(time.Second/time.Millisecond))
+}
+
+// rate returns the core-seconds that arrive in a second.
+func (t *poolTrend) rate(now time.Time) float64 { return t.rateOf(now, rateBuckets) }
+
+// arrived notes that a job came.
+func (p *turnPlan) arrived(now time.Time, pool string, coreSeconds float64) {
+	t := p.trend(pool)
+	t.advance(now)
+	t.buckets[t.bucket%rateBuckets] += coreSeconds
+	t.jobs[t.bucket%rateBuckets]++
+	t.work += coreSeconds
+}
+
+// expect returns the cores that the pool's work will need when machines that are moved now have arrived; the pool has
+// the given cores.
+func (p *turnPlan) expect(now time.Time, pool string, cores float64) float64 {
+	t := p.trend(pool)
+	if t.home == 0 {
+		t.home = cores
+	}
+	p.watch(now, t)
+	rate := t.rate(now)
+	if t.turning || p.due(now, t) {
+		return max(rate, t.height())
+	}
+	return rate
+}
+
+// height returns how high the pool's turns are expected to be.
+func (t *poolTrend) height() float64 {
+	if t.peak > 0 {
+		return t.peak
+	}
+	return t.home * firstPeakShare
+}
+
+// watch notes the beginning and the end of turns.
+func (p *turnPlan) watch(now time.Time, t *poolTrend) {
+	rate := t.rate(now)
+	lasted := now.Sub(t.began)
+	switch {
+	case !t.turning && t.begins(now):
+		if !t.began.IsZero() {
+			p.cycle = lasted
+		}
+		t.turning, t.began, t.work = true, now, 0
+	case t.turning && lasted >= shortestTurn && rate < overShare*max(t.mean(now), t.height()):
+		t.turning = false
+		if t.peak == 0 {
+			t.peak = t.mean(now)
+		}
+		t.peak += peakWeight * (t.mean(now) - t.peak)
+	}
+}
+
+// begins tells whether so much work came lately that a turn must have begun.
+func (t *poolTrend) begins(now time.Time) bool {
+	rate := t.rateOf(now, onsetBuckets)
+	jobs := 0
+	for i := range int64(onsetBuckets) {
+		jobs += t.jobs[(t.bucket-i)%rateBuckets]
+	}
+	return jobs >= onsetJobs && rate > onsetShare*max(t.home, t.peak)
+}
+
+// mean returns the core-seconds in a second of the present turn, which ended when work last came.
+func (t *poolTrend) mean(now time.Time) float64 {
+	return t.work / max(shortestTurn, now.Sub(t.began)-rateWindow/2).Seconds()
+}
+
+// due tells whether the pool's next turn is about to begin.
+func (p *turnPlan) due(now time.Time, t *poolTrend) bool {
+	if p.cycle == 0 || t.began.IsZero() || t.turning {
+		return false
+	}
+	next := t.began.Add(p.cycle)
+	return now.After(next.Add(-moveLead)) && now.Before(next.Add(missedTurn))
+}
--- a/core/sched/worker.go
+++ b/core/sched/worker.go
@@ -12,6 +12,7 @@
 	entry    WorkerEntry
 	born     int64
 	listed   bool
+	listedAt time.Time
 	verified bool // it has answered under the owner's fencing token
 	silent   int  // calls without an answer since the last one
 	heard    time.Time
@@ -25,6 +26,7 @@
 	full     time.Time // it had no room; not asked again before
 	rest     time.Time // it fails what it starts; not used before
 	faults   int       // failed attempts since the last good one
+	faulted  time.Time // when the last attempt failed
 	cordoned bool      // no new tasks: the machine is about to be taken away
 	drainEnd time.Time // a draining worker may leave from then on
 }
@@ -42,6 +44,10 @@
 	// Failed attempts in a row after which a worker rests.
 	faultsToRest = 2
 	restTime     = 3 * time.Second
+	// A failed attempt says nothing of its worker after this time.
+	faultMemory = 6 * time.Second
+	// A lasting task that was at work for this long failed through its own fault.
+	lastingSound = 2 * time.Second
 )
 
 // usable tells whether new tasks may be placed on the worker.
@@ -50,6 +56,11 @@
 		!now.Before(w.full) && !now.Before(w.rest)
 }
 
+// suspect tells whether attempts failed on the worker lately and none has ended well since.
+func (w *worker) suspect(now time.Time) bool {
+	return w.faults > 0 && now.Sub(w.faulted) < faultMemory
+}
+
 func (w *worker) free() setup.Resources { return w.entry.Capacity.Minus(w.used) }
 
 // hasLabel tells whether the worker has the label; every worker has the empty one.
--- a/gate/intake/service.go
+++ b/gate/intake/service.go
@@ -24,6 +24,7 @@
 	staleAfter = 5 * time.Second
 	// Callers that don't say how long they wait are answered within this time.
 	defaultWait = 2500 * time.Millisecond
+	leastWait   = 600 * time.Millisecond
 	// Time kept back from the caller's deadline for the answer's way.
 	answerMargin = 150 * time.Millisecond
 	// One call to the owner.
@@ -262,12 +263,16 @@
 	}
 }
 
-// until returns when a call must be answered.
+// until returns when a call must be answered; a caller about to leave does not keep its job from being stored.
 func until(c Caller) time.Time {
 	if c.Deadline.IsZero() {
 		return c.Received.Add(defaultWait)
 	}
-	return c.Deadline.Add(-answerMargin)
+	at, least := c.Deadline.Add(-answerMargin), c.Received.Add(leastWait)
+	if at.Before(least) {
+		return least
+	}
+	return at
 }
 
 func validID(id string) bool {
--- a/gate/lead/term.go
+++ b/gate/lead/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -17,27 +18,29 @@
 	reportsQueue   = 1024
 	eventsAtOnce   = 128
 	snapshotPeriod = 60 * time.Second
+	loadsPeriod    = time.Second
 	takeOverLimit  = 20 * time.Second
 )
 
 // term is one ownership of the scheduler; one goroutine runs it.
 type term struct {
 	*Service
-	epoch    int64
-	machine  *sched.Machine
-	journal  *journal
-	reports  chan sched.Report
-	lists    chan map[string]sched.WorkerEntry
-	machines chan []sched.MachineEntry
-	inbox    chan ports.Page
-	stored   chan storedGroup
-	targets  map[string]ports.Target
-	storing  bool
-	replies  []reply          // to be given once what the machine records next is stored
-	held     []sched.Order    // wait until this gate may order again
-	snapshot time.Time        // when the last snapshot was taken
-	configs  <-chan struct{}  // ticks on each declaration
-	encoded  map[string]int64 // sizes by kind of record, for the metrics
+	epoch       int64
+	machine     *sched.Machine
+	journal     *journal
+	reports     chan sched.Report
+	lists       chan map[string]sched.WorkerEntry
+	machines    chan []sched.MachineEntry
+	inbox       chan ports.Page
+	stored      chan storedGroup
+	targets     map[string]ports.Target
+	storing     bool
+	expecting   atomic.Bool     // machines are on their way to a pool
+	replies     []reply         // to be given once what the machine records next is stored
+	held        []sched.Order   // wait until this gate may order again
+	snapshot    time.Time       // when the last snapshot was taken
+	configs     <-chan struct{} // ticks on each declaration
+	loadsLogged time.Time
 }
 
 // reply is an answer that waits for records to be stored.
@@ -117,8 +120,10 @@
 	for {
 		now := time.Now()
 		t.machine.Decide(now)
+		t.expecting.Store(t.machine.Expecting())
 		t.pump(ctx)
 		t.logDecisions()
+		t.logLoads(now)
 		switch {
 		case t.machine.Fenced():
 			return "a worker or machine has seen a higher fencing token"
@@ -317,6 +322,20 @@
 	}
 }
 
+// logLoads tells once in a while what each pool has to do.
+func (t *term) logLoads(now time.Time) {
+	if now.Sub(t.loadsLogged) < loadsPeriod {
+		return
+	}
+	t.loadsLogged = now
+	for _, l := range t.machine.Loads(now) {
+		if l.Running() > 0 || l.Waiting() > 0 {
+			klog.InfoS("pool-load", "pool", l.Pool(), "machines", l.Machines(), "needed", l.Needed(), "usable", l.Usable(),
+				"waiting", l.Waiting(), "running", l.Running(), "idle-cores", int(l.IdleCores()), "arriving-cores", int(l.Rate()))
+		}
+	}
+}
+
 func (t *term) logDecisions() {
 	for _, d := range t.machine.Decisions() {
 		klog.InfoS(d.What, "task", d.Task, "worker", d.Worker, "why", d.Why)
--- a/gate/lead/watch.go
+++ b/gate/lead/watch.go
@@ -15,6 +15,7 @@
 
 const (
 	directoryPeriod = 400 * time.Millisecond
+	expectingPeriod = 120 * time.Millisecond
 	directoryLimit  = 2 * time.Second
 	machinesPeriod  = time.Second
 	// Entries that lapsed while the platform was away are back this long after its return, or are gone.
@@ -45,10 +46,18 @@
 			case <-ctx.Done():
 			}
 		}
-		pause(ctx, directoryPeriod)
+		pause(ctx, t.directoryPause())
 	}
 }
 
+// directoryPause is short while machines are on their way, so that their new workers are used soon.
+func (t *term) directoryPause() time.Duration {
+	if t.expecting.Load() {
+		return expectingPeriod
+	}
+	return directoryPeriod
+}
+
 func (d *directory) read(ctx context.Context, from ports.Directory) (changed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, directoryLimit)
 	defer cancel()
--- a/gate/owner/keeper.go
+++ b/gate/owner/keeper.go
@@ -66,8 +66,8 @@
 	sequence int64
 	sent     map[int64]time.Duration
 	changed  chan struct{}
-	next     int64 // offset of the first record that was not read
-	end      int64 // where the topic ended when this gate last heard of it
+	next     int64         // offset of the first record that was not read
+	end      int64         // where the topic ended when this gate last heard of it
 	readOK   time.Duration // start of the last read that was answered, since boot
 	eligible func() bool
 }
