--- a/gate/feed/peers.go
+++ b/gate/feed/peers.go
@@ -18,6 +18,10 @@
 	peersPeriod  = 10 * time.Second
 	peersAsked   = 3
 	syncMethod   = "gate.sync"
+	claimMethod  = "gate.claim"
+	claimLimit   = 500 * time.Millisecond
+	// An owner that the platform turns away hands over to a gate that had an answer within this time.
+	freshPeer = 900 * time.Millisecond
 	peersLimit   = 2 * time.Second
 	peersPauseMs = 500
 )
@@ -151,9 +155,35 @@
 		return Copy{}
 	}
 	p.keeper.Learn(result.Owner, result.Address, result.Epoch)
+	if result.AgeMs < freshPeer.Milliseconds() {
+		p.handOver(ctx, address)
+	}
 	return NewCopy(result.Raw, result.Version, time.Duration(result.AgeMs)*time.Millisecond)
 }
 
+// handOver lets the gate at the address claim the ownership that this gate can't use, since the platform turns it away.
+func (p *Peers) handOver(ctx context.Context, address string) {
+	epoch := p.keeper.Mine()
+	if epoch == 0 || p.keeper.Away() < askPeersAfter || p.keeper.MayOrder() {
+		return
+	}
+	klog.InfoS("ownership-handed-over", "epoch", epoch, "to", address)
+	p.keeper.Lost("the platform turns this gate away")
+	ctx, cancel := context.WithTimeout(ctx, claimLimit)
+	defer cancel()
+	if err := p.network.Call(ctx, address, claimMethod, syncParams{}, nil); err != nil {
+		klog.InfoS("hand-over-unanswered", "to", address, "error", err.Error())
+	}
+}
+
+// AnswerClaim returns the handler of an owner's request to take the ownership over.
+func (p *Peers) AnswerClaim() (method string, handle func(context.Context, json.RawMessage) (any, error)) {
+	return claimMethod, func(ctx context.Context, _ json.RawMessage) (any, error) {
+		go p.keeper.Claim(context.WithoutCancel(ctx))
+		return syncResult{}, nil
+	}
+}
+
 // Answer returns the handler of other gates' questions.
 func (p *Peers) Answer(configs *Configs) (method string, handle func(context.Context, json.RawMessage) (any, error)) {
 	return syncMethod, func(_ context.Context, raw json.RawMessage) (any, error) {
--- a/gate/intake/service.go
+++ b/gate/intake/service.go
@@ -255,6 +255,7 @@
 	case err == nil:
 		return result.answer()
 	case errors.Is(err, peers.ErrRefused):
+		s.keeper.Refused(address)
 		return lead.Refuse(codes.NotOwner, 0)
 	default:
 		klog.InfoS("owner-not-reached", "address", address, "kind", r.Kind, "job", r.ID, "error", err.Error())
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -61,6 +61,7 @@
 	n.intake = intake.New(n.lead, n.network, n.keeper, n.configs, p.Log)
 	n.network.Handle(n.intake.Answer())
 	n.network.Handle(n.peers.Answer(n.configs))
+	n.network.Handle(n.peers.AnswerClaim())
 	return n
 }
 
--- a/gate/owner/keeper.go
+++ b/gate/owner/keeper.go
@@ -18,19 +18,21 @@
 const (
 	topic = "owner"
 
-	beatPeriod = 600 * time.Millisecond
+	beatPeriod = 400 * time.Millisecond
 	// Without a beat for this long, another gate claims the ownership.
-	silence = 2200 * time.Millisecond
+	silence = 1600 * time.Millisecond
+	// The same when the owner refused a connection: its process is gone, or this gate is cut off from it.
+	refusedSilence = 900 * time.Millisecond
 	// An owner orders nothing when its last beat on the log is older.
-	orderLimit = 1800 * time.Millisecond
+	orderLimit = 1300 * time.Millisecond
 	// An owner renews nothing when its last beat on the log is older.
 	renewLimit = 6 * time.Second
 	// Gates claim one after the other, spread over this time.
-	claimSpread = 400 * time.Millisecond
-	readWait    = 700 * time.Millisecond
-	callTimeout = 1200 * time.Millisecond
-	retryPause  = 100 * time.Millisecond
-	beatRetry   = 300 * time.Millisecond
+	claimSpread = 250 * time.Millisecond
+	readWait    = 500 * time.Millisecond
+	callTimeout = time.Second
+	retryPause  = 80 * time.Millisecond
+	beatRetry   = 150 * time.Millisecond
 )
 
 // View is what a gate believes of the ownership.
@@ -39,7 +41,8 @@
 	address string
 	epoch   int64
 	seen    time.Duration // when its last record arrived, since boot
-	left    bool
+	left    bool // it gave the ownership up
+	refused bool // it refused a connection
 }
 
 // Name returns the owner's name, empty if none is known.
@@ -109,6 +112,31 @@
 	return k.mine
 }
 
+// Refused notes that the owner at the address refused a connection.
+func (k *Keeper) Refused(address string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.view.address == address && !k.view.refused {
+		klog.InfoS("owner-refuses", "owner", k.view.name, "address", address)
+		k.view.refused = true
+	}
+}
+
+// Claim claims the ownership at once, since the owner asked this gate to.
+func (k *Keeper) Claim(ctx context.Context) {
+	if !k.eligible() || k.Mine() != 0 || k.read(ctx) != nil {
+		return
+	}
+	k.claim(ctx)
+}
+
+// Away returns how long this gate has had no answer from the log.
+func (k *Keeper) Away() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return timer.SinceBoot() - k.readOK
+}
+
 // MayOrder tells whether an owner may give orders.
 func (k *Keeper) MayOrder() bool { return k.fresh(orderLimit) }
 
@@ -249,7 +277,7 @@
 		k.foldClaim(n, offset+1)
 		k.notify()
 	case kindBeat:
-		k.view.seen = now
+		k.view.seen, k.view.refused = now, false
 		if n.Life == k.life {
 			k.beatenAt(n.Number)
 		}
@@ -292,7 +320,11 @@
 	if k.view.name == "" || k.view.left {
 		return true
 	}
-	patience := silence + k.turn()
+	patience := silence
+	if k.view.refused {
+		patience = refusedSilence
+	}
+	patience += k.turn()
 	return timer.SinceBoot()-k.view.seen > patience && k.readOK > k.view.seen+patience/2
 }
 
