Come back at once when the platform's log returns, and refuse at once while it is away

Cause: after a silent outage each idle connection to the log cost a whole timeout, so that gates saw it again 2 s late; an owner that got SIGTERM in the outage left nobody to lead; gates held requests for 2 s that nobody could store; a restarted owner waited for its own silence. Ruled out: starts without a stored intent in an outage, since a successor would have to distrust every silent worker.

--- a/gate/daemon/admin/record_helper.go
+++ b/gate/daemon/admin/record_helper.go
@@ -11,8 +11,8 @@
 	"mangowing/core/codes"
 	"mangowing/core/event"
 	"mangowing/core/record"
-	"mangowing/gate/peers"
 	"mangowing/gate/daemon/state"
+	"mangowing/gate/peers"
 )
 
 const (
--- a/gate/daemon/admin/server_test.go
+++ b/gate/daemon/admin/server_test.go
@@ -20,10 +20,10 @@
 	"mangowing/core/fold"
 	"mangowing/core/proc"
 	"mangowing/core/record"
-	"mangowing/gate/peers"
 	"mangowing/gate/daemon/queue"
 	"mangowing/gate/daemon/state"
 	"mangowing/gate/daemon/vmlist"
+	"mangowing/gate/peers"
 )
 
 const operatorKey = "operator"
--- a/gate/daemon/assemble.go
+++ b/gate/daemon/assemble.go
@@ -17,12 +17,12 @@
 	"mangowing/gate/daemon/caller"
 	"mangowing/gate/daemon/limits"
 	"mangowing/gate/daemon/once"
-	"mangowing/gate/peers"
 	"mangowing/gate/daemon/plan"
 	"mangowing/gate/daemon/queue"
 	"mangowing/gate/daemon/relay"
 	"mangowing/gate/daemon/state"
 	"mangowing/gate/daemon/vmlist"
+	"mangowing/gate/peers"
 	"mangowing/gate/plat"
 )
 
--- a/gate/daemon/once/forward_handler.go
+++ b/gate/daemon/once/forward_handler.go
@@ -9,8 +9,8 @@
 
 	"mangowing/core/codes"
 	"mangowing/core/ticket"
-	"mangowing/gate/peers"
 	"mangowing/gate/daemon/relay"
+	"mangowing/gate/peers"
 )
 
 const (
--- a/gate/daemon/once/harness_test.go
+++ b/gate/daemon/once/harness_test.go
@@ -18,8 +18,8 @@
 	"mangowing/core/fold"
 	"mangowing/core/proc"
 	"mangowing/core/record"
-	"mangowing/gate/peers"
 	"mangowing/gate/daemon/relay"
+	"mangowing/gate/peers"
 )
 
 const (
--- a/gate/daemon/once/service.go
+++ b/gate/daemon/once/service.go
@@ -10,8 +10,8 @@
 	"mangowing/core/proc"
 	"mangowing/core/record"
 	"mangowing/core/ticket"
-	"mangowing/gate/peers"
 	"mangowing/gate/daemon/relay"
+	"mangowing/gate/peers"
 )
 
 const tidyPeriod = time.Second
--- a/gate/daemon/queue/service.go
+++ b/gate/daemon/queue/service.go
@@ -10,8 +10,8 @@
 	"mangowing/core/codes"
 	"mangowing/core/fold"
 	"mangowing/core/proc"
-	"mangowing/gate/peers"
 	"mangowing/gate/daemon/vmlist"
+	"mangowing/gate/peers"
 	"mangowing/gate/plat"
 )
 
--- a/gate/feed/peers.go
+++ b/gate/feed/peers.go
@@ -14,14 +14,14 @@
 )
 
 const (
-	gatesTopic   = "gates"
-	peersPeriod  = 10 * time.Second
-	peersAsked   = 3
-	syncMethod   = "gate.sync"
-	claimMethod  = "gate.claim"
-	claimLimit   = 500 * time.Millisecond
+	gatesTopic  = "gates"
+	peersPeriod = 10 * time.Second
+	peersAsked  = 3
+	syncMethod  = "gate.sync"
+	claimMethod = "gate.claim"
+	claimLimit  = 500 * time.Millisecond
 	// An owner that the platform turns away hands over to a gate that had an answer within this time.
-	freshPeer = 900 * time.Millisecond
+	freshPeer    = 900 * time.Millisecond
 	peersLimit   = 2 * time.Second
 	peersPauseMs = 500
 )
--- a/gate/intake/service.go
+++ b/gate/intake/service.go
@@ -37,6 +37,9 @@
 	inboxTries = 3
 	idDigits   = 16
 	retrySoon  = time.Second
+	// Callers come back this much later while the log is away.
+	retryAway = 2 * time.Second
+	awayAfter = 1200 * time.Millisecond
 )
 
 // Lead is the owner on this gate.
@@ -146,6 +149,10 @@
 	}
 	started := time.Now()
 	unsettled := false
+	if s.storeAway() {
+		klog.V(1).InfoS("job-refused", "job", spec.ID, "why", "neither the owner nor the log can be reached")
+		return refuse(codes.JobStoreAway, retryAway)
+	}
 	for time.Since(started) < inboxAfter && ctx.Err() == nil {
 		a := s.ask(ctx, request{Kind: askSubmit, Record: record, ID: spec.ID}, func(ctx context.Context) lead.Answer {
 			return s.lead.Submit(ctx, spec)
@@ -154,7 +161,7 @@
 		case codes.NotOwner:
 		case codes.JobUnsettled:
 			unsettled = true
-		case codes.JobPoolFull:
+		case codes.JobPoolFull, codes.JobStoreAway:
 			if unsettled {
 				return refuse(codes.JobUnsettled, 0)
 			}
@@ -167,6 +174,12 @@
 	return s.toInbox(ctx, record, spec.ID, unsettled)
 }
 
+// storeAway tells whether a job surely can't be stored now: the log has not answered this gate for a while, and there
+// is no owner that could store it.
+func (s *Service) storeAway() bool {
+	return s.keeper.Mine() == 0 && s.keeper.Away() > awayAfter && !s.keeper.Reachable()
+}
+
 func (s *Service) toInbox(ctx context.Context, record []byte, id string, unsettled bool) Reply {
 	_, err := lead.Hedged(ctx, inboxHedge, inboxTries, func(ctx context.Context) (int64, error) {
 		ctx, cancel := context.WithTimeout(ctx, inboxLimit)
@@ -178,7 +191,7 @@
 	case err == nil:
 		return Reply{}
 	case errors.Is(err, ports.ErrNotDone) && !unsettled:
-		return refuse(codes.JobStoreAway, retrySoon)
+		return refuse(codes.JobStoreAway, retryAway)
 	default:
 		return refuse(codes.JobUnsettled, 0)
 	}
@@ -253,13 +266,16 @@
 	err := s.network.Call(ctx, address, askMethod, r, &result)
 	switch {
 	case err == nil:
+		s.keeper.Met(address, true)
 		return result.answer()
 	case errors.Is(err, peers.ErrRefused):
+		s.keeper.Met(address, false)
 		s.keeper.Refused(address)
 		return lead.Refuse(codes.NotOwner, 0)
 	default:
 		klog.InfoS("owner-not-reached", "address", address, "kind", r.Kind, "job", r.ID, "error", err.Error())
 		s.network.Drop(address)
+		s.keeper.Met(address, false)
 		return lead.Refuse(codes.JobUnsettled, 0)
 	}
 }
--- a/gate/lead/term.go
+++ b/gate/lead/term.go
@@ -19,28 +19,33 @@
 	eventsAtOnce   = 128
 	snapshotPeriod = 60 * time.Second
 	loadsPeriod    = time.Second
+	// An append without an answer for this long means that the log is away.
+	storeAwayAfter = 700 * time.Millisecond
+	// Callers come back this much later while the log is away.
+	storeAwayRetry = 2 * time.Second
 	takeOverLimit  = 20 * time.Second
 )
 
 // term is one ownership of the scheduler; one goroutine runs it.
 type term struct {
 	*Service
-	epoch       int64
-	machine     *sched.Machine
-	journal     *journal
-	reports     chan sched.Report
-	lists       chan map[string]sched.WorkerEntry
-	machines    chan []sched.MachineEntry
-	inbox       chan ports.Page
-	stored      chan storedGroup
-	targets     map[string]ports.Target
-	storing     bool
-	expecting   atomic.Bool     // machines are on their way to a pool
-	replies     []reply         // to be given once what the machine records next is stored
-	held        []sched.Order   // wait until this gate may order again
-	snapshot    time.Time       // when the last snapshot was taken
-	configs     <-chan struct{} // ticks on each declaration
-	loadsLogged time.Time
+	epoch        int64
+	machine      *sched.Machine
+	journal      *journal
+	reports      chan sched.Report
+	lists        chan map[string]sched.WorkerEntry
+	machines     chan []sched.MachineEntry
+	inbox        chan ports.Page
+	stored       chan storedGroup
+	targets      map[string]ports.Target
+	storing      bool
+	expecting    atomic.Bool     // machines are on their way to a pool
+	replies      []reply         // to be given once what the machine records next is stored
+	held         []sched.Order   // wait until this gate may order again
+	snapshot     time.Time       // when the last snapshot was taken
+	configs      <-chan struct{} // ticks on each declaration
+	storingSince time.Time
+	loadsLogged  time.Time
 }
 
 // reply is an answer that waits for records to be stored.
@@ -214,7 +219,7 @@
 		t.complete(ctx, g)
 		return
 	}
-	t.storing = true
+	t.storing, t.storingSince = true, time.Now()
 	go func() {
 		first, err := t.journal.append(ctx, g.records)
 		t.stored <- storedGroup{g, first, err}
@@ -286,6 +291,11 @@
 }
 
 func (t *term) submit(now time.Time, c submitCall) {
+	if t.storing && now.Sub(t.storingSince) > storeAwayAfter {
+		klog.InfoS("job-refused", "job", c.spec.ID, "queue", c.spec.Queue, "team", c.spec.Team, "why", "the journal can't be written")
+		c.reply <- Refuse(codes.JobStoreAway, storeAwayRetry)
+		return
+	}
 	verdict, after := t.machine.Submit(now, c.spec)
 	if verdict == sched.Overload {
 		klog.InfoS("job-refused", "job", c.spec.ID, "queue", c.spec.Queue, "team", c.spec.Team, "retry-after-ms", after.Milliseconds())
--- a/gate/owner/keeper.go
+++ b/gate/owner/keeper.go
@@ -41,8 +41,9 @@
 	address string
 	epoch   int64
 	seen    time.Duration // when its last record arrived, since boot
-	left    bool // it gave the ownership up
-	refused bool // it refused a connection
+	left    bool          // it gave the ownership up
+	refused bool          // it refused a connection
+	unmet   bool          // it did not answer this gate's last call
 }
 
 // Name returns the owner's name, empty if none is known.
@@ -122,6 +123,22 @@
 	}
 }
 
+// Met notes whether the owner at the address answered this gate's last call.
+func (k *Keeper) Met(address string, answered bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.view.address == address {
+		k.view.unmet = !answered
+	}
+}
+
+// Reachable tells whether there is an owner that answered this gate's last call, if it made any.
+func (k *Keeper) Reachable() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.view.name != "" && !k.view.unmet
+}
+
 // Claim claims the ownership at once, since the owner asked this gate to.
 func (k *Keeper) Claim(ctx context.Context) {
 	if !k.eligible() || k.Mine() != 0 || k.read(ctx) != nil {
@@ -165,23 +182,22 @@
 	}
 }
 
-// Release gives the ownership up, so that another gate claims it at once, and claims no more.
+// Release gives the ownership up, so that another gate claims it at once, and claims no more. While the log does not
+// answer, this gate goes on as the owner: nobody else can become it.
 func (k *Keeper) Release(ctx context.Context) {
 	k.mu.Lock()
 	k.stopped = true
 	epoch := k.mine
-	k.mine = 0
-	k.notify()
 	k.mu.Unlock()
-	if epoch == 0 {
-		return
-	}
-	err := k.append(ctx, kindRelease)
-	if errors.Is(err, ports.ErrMoved) {
-		_ = k.read(ctx)
-		err = k.append(ctx, kindRelease)
+	for epoch != 0 && ctx.Err() == nil && k.Mine() == epoch {
+		err := k.append(ctx, kindRelease)
+		klog.InfoS("ownership-released", "epoch", epoch, "error", errText(err))
+		if err == nil {
+			k.Lost("released")
+			return
+		}
+		sleep(ctx, retryPause)
 	}
-	klog.InfoS("ownership-released", "epoch", epoch, "error", errText(err))
 }
 
 func errText(err error) string {
@@ -317,7 +333,8 @@
 	if k.stopped || k.mine != 0 {
 		return false
 	}
-	if k.view.name == "" || k.view.left {
+	formerSelf := k.view.name == k.name && k.view.address == k.address
+	if k.view.name == "" || k.view.left || formerSelf {
 		return true
 	}
 	patience := silence
