--- a/core/sched/intake.go
+++ b/core/sched/intake.go
@@ -19,7 +19,8 @@
 	if _, known := m.jobs[spec.ID]; known {
 		return Repeated, 0
 	}
-	if after, refuse := m.overloaded(now, &spec); refuse {
+	spec.Excess = m.beyondShare(now, &spec)
+	if after, refuse := m.overloaded(&spec); refuse {
 		return Overload, after
 	}
 	m.accept(now, spec)
@@ -46,7 +47,7 @@
 	if j.cancelled {
 		m.forgetLater(j, now)
 	}
-	if j.live() {
+	if j.live() && !spec.Excess {
 		_, coreSeconds := spec.Size()
 		m.turns.arrived(now, m.poolNameOf(j), coreSeconds)
 	}
--- a/core/sched/machine.go
+++ b/core/sched/machine.go
@@ -41,8 +41,9 @@
 
 // team counts what runs for an organisation.
 type team struct {
-	name string
-	used setup.Resources
+	name  string
+	used  setup.Resources
+	share shareMeter
 }
 
 // pool holds the steps that wait for workers of a pool.
--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -246,6 +246,9 @@
 	cores    float64 // cores needed
 	need     int     // machines needed
 	idle     []*worker
+	held     float64 // cores of lasting tasks
+	urgent   float64 // core-seconds of work that can still be in time
+	reach    float64 // cores that the pool has or can get from others
 }
 
 // measureDemand compares what each pool has with what its work needs.
--- a/core/sched/moves.go
+++ b/core/sched/moves.go
@@ -9,6 +9,8 @@
 const (
 	// Work that waits is done in this time if the pool has the cores that it needs.
 	workHorizon = 1600 * time.Millisecond
+	// The same for work that is late already or beyond its team's share.
+	lateHorizon = 8 * time.Second
 	// Share of a pool's cores that can be in use; the rest is lost to what does not fit.
 	fillShare = 0.85
 	// A lasting task that waits for longer needs another machine in its pool.
@@ -21,12 +23,16 @@
 
 // measureNeeds fills in how many machines each pool needs.
 func (m *Machine) measureNeeds(now time.Time, demand map[string]*poolDemand) {
-	work, held, spread := map[string]float64{}, map[string]float64{}, map[string]int{}
-	stuck := map[string]bool{}
+	urgent, late, held := map[string]float64{}, map[string]float64{}, map[string]float64{}
+	spread, stuck := map[string]int{}, map[string]bool{}
 	for j := range m.open {
 		pool := m.poolNameOf(j)
 		batch, lasting := workLeft(j)
-		work[pool] += batch
+		if j.late(now) {
+			late[pool] += batch
+		} else {
+			urgent[pool] += batch
+		}
 		held[pool] += lasting
 		spread[pool] = max(spread[pool], workersFor(j))
 		stuck[pool] = stuck[pool] || lastingWaits(now, j)
@@ -36,7 +42,8 @@
 			continue
 		}
 		expected := m.turns.expect(now, name, float64(d.machines)*d.perVM)
-		d.cores = max(work[name]/workHorizon.Seconds(), expected) + held[name]
+		d.cores = max(urgent[name]/workHorizon.Seconds(), expected) + late[name]/lateHorizon.Seconds() + held[name]
+		d.urgent, d.held = urgent[name], held[name]
 		d.need = max(int(math.Ceil(d.cores/(d.perVM*fillShare)))+reserveMachines, spread[name])
 		if stuck[name] {
 			d.need = max(d.need, d.machines+1)
@@ -44,6 +51,18 @@
 	}
 }
 
+// late tells whether the job can't meet its objective any more, or is beyond its team's share.
+func (j *job) late(now time.Time) bool {
+	if j.spec.Excess {
+		return true
+	}
+	by, chain := j.objective()
+	if j.begun {
+		chain /= 2
+	}
+	return now.Add(chain).After(by)
+}
+
 // workLeft returns the core-seconds of a job's undone tasks that end by themselves, and the cores of those that last.
 func workLeft(j *job) (batch, lasting float64) {
 	for _, r := range j.rounds {
@@ -100,6 +119,9 @@
 func (m *Machine) planMoves(now time.Time, byMachine map[string]*worker, demand map[string]*poolDemand) {
 	standby := m.standbyPool()
 	donors := m.donors(now, standby, byMachine, demand)
+	for _, d := range demand {
+		d.reach = (float64(d.machines+len(donors))*d.perVM - d.held) * fillShare
+	}
 	for _, d := range byShortage(demand) {
 		for d.machines < d.need && len(donors) > 0 {
 			h := donors[0]
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -11,7 +11,7 @@
 // candidate is a step with tasks that wait for workers.
 type candidate struct {
 	step *step
-	late bool      // it can't meet its objective any more
+	late bool      // it can't meet its objective any more, or is beyond its team's share
 	by   time.Time // latest start that meets the objective
 }
 
@@ -63,7 +63,7 @@
 		by = j.spec.Due(s.round.number).Add(j.chain(everyStep) * 2)
 	}
 	latest := by.Add(-s.chainLeft())
-	return candidate{step: s, late: now.After(latest), by: latest}
+	return candidate{step: s, late: now.After(latest) || j.spec.Excess, by: latest}
 }
 
 // chainLeft returns the estimated time of the longest chain of steps that are not done.
--- a/core/sched/spec.go
+++ b/core/sched/spec.go
@@ -26,6 +26,7 @@
 	TargetMs    int64
 	AcceptedMs  int64 // when the job was accepted, in Unix milliseconds
 	FirstSentMs int64 // when the caller's request reached the system first
+	Excess      bool  // it is more than its team's share of jobs in a second
 }
 
 // Timed tells whether the job runs at times of its own.
