--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -33,6 +33,7 @@
 	m.beginDueRounds(now)
 	m.repeatStops(now)
 	m.planMachines(now)
+	m.replan(now)
 	for _, p := range m.pools {
 		m.place(now, p)
 	}
@@ -41,6 +42,14 @@
 	m.forget(now)
 }
 
+// replan looks at all waiting tasks again once in a while: pauses of workers end without a report.
+func (m *Machine) replan(now time.Time) {
+	if now.Sub(m.replanned) >= replanPause {
+		m.replanned = now
+		m.wakeAll()
+	}
+}
+
 // lapse ends the attempts on workers that were silent until all leases there surely ran out.
 func (m *Machine) lapse(now time.Time) {
 	for _, w := range m.workers {
--- /dev/null
+++ b/core/sched/harness_test.go
@@ -0,0 +1,167 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangowing/core/setup"
+)
+
+// start is when the tests' clock begins; waves and timed jobs go by the time of day.
+var start = time.UnixMilli(1_700_000_000_000)
+
+// bench drives a machine with answers that the test chooses.
+type bench struct {
+	t       *testing.T
+	m       *Machine
+	now     time.Time
+	entries map[string]WorkerEntry
+	orders  []Order
+	ends    map[string]int64 // numbers of the workers' ends
+	records []Record
+}
+
+// queueOf4 is the configuration of most tests: a queue onto the pool "pots" with the spare pool "attic".
+func queueOf4() *setup.Config {
+	return setup.New(1, []setup.Queue{
+		{Name: "plans", Pool: "pots", MaxAttempts: 2, Slack: 1.6, Target: 600 * time.Millisecond},
+		{Name: "quotes", Pool: "desks", MaxAttempts: 2, Slack: 1.6, Target: 600 * time.Millisecond},
+	}, []setup.Pool{{Name: "pots", Guards: true}, {Name: "desks", Guards: true}, {Name: "attic", Standby: true}},
+		[]setup.Team{
+			{Name: "retail", Weight: 10, Limit: setup.Resources{CPU: 64000}},
+			{Name: "floor", Weight: 5},
+		}, setup.Limits{})
+}
+
+// newBench returns a machine that has begun, with that many verified workers of 4 cores in the pool "pots".
+func newBench(t *testing.T, workers int) *bench {
+	b := &bench{t: t, m: New(Options{}), now: start, entries: map[string]WorkerEntry{}, ends: map[string]int64{}}
+	b.m.Begin(b.now, 0)
+	b.m.Configure(b.now, queueOf4())
+	for i := range workers {
+		b.addWorker(fmt.Sprintf("w%d", i+1), "pots")
+	}
+	b.list()
+	b.answerLooks()
+	return b
+}
+
+func (b *bench) addWorker(id, pool string) {
+	b.entries[id] = WorkerEntry{
+		ID: id, Machine: "m-" + id, Pool: pool, Address: "127.0.0.1:1", DataCentre: "a", Labels: []string{"k", "r1"},
+		Capacity: setup.Resources{CPU: 4000, MemMB: 8000}, Born: 1,
+	}
+}
+
+func (b *bench) list() {
+	entries := map[string]WorkerEntry{}
+	for id, e := range b.entries {
+		entries[id] = e
+	}
+	b.m.ListWorkers(b.now, entries)
+	b.settle()
+}
+
+// settle lets the machine decide and stores all that it records.
+func (b *bench) settle() {
+	b.m.Decide(b.now)
+	batch := b.m.Take()
+	b.records = append(b.records, batch.Records...)
+	b.m.Stored(batch)
+	b.orders = append(b.orders, b.m.Orders()...)
+	b.orders = append(b.orders, batch.After...)
+}
+
+func (b *bench) pass(d time.Duration) {
+	b.now = b.now.Add(d)
+	b.settle()
+}
+
+// take returns the orders of a type that were given since, and forgets them.
+func take[O Order](b *bench) []O {
+	var found []O
+	var rest []Order
+	for _, o := range b.orders {
+		if wanted, ok := o.(O); ok {
+			found = append(found, wanted)
+			continue
+		}
+		rest = append(rest, o)
+	}
+	b.orders = rest
+	return found
+}
+
+// answerLooks lets each worker that was asked say what it runs by the machine's own books.
+func (b *bench) answerLooks(silent ...string) {
+	for _, o := range take[HoldWorker](b) {
+		rep := HoldReport{Order: o, SentAt: b.now, Born: b.entries[o.Worker].Born}
+		for _, id := range silent {
+			if id == o.Worker {
+				rep.Answer = Unknown
+			}
+		}
+		for key, r := range b.m.workers[o.Worker].runs {
+			if r.phase == runConfirmed {
+				rep.Active = append(rep.Active, ActiveRun{Task: key.task, Attempt: key.attempt, Percent: fullSpeed, Load: -1})
+			}
+		}
+		b.m.Apply(b.now, rep)
+	}
+	b.settle()
+}
+
+// answerStarts answers all starts alike and returns them.
+func (b *bench) answerStarts(a Answer) []StartTask {
+	starts := take[StartTask](b)
+	for _, o := range starts {
+		b.m.Apply(b.now, StartReport{Order: o, Answer: a, SentAt: b.now})
+	}
+	b.settle()
+	return starts
+}
+
+// end lets a worker list the end of an attempt.
+func (b *bench) end(o StartTask, how Ending) {
+	b.ends[o.Worker]++
+	b.m.Apply(b.now, HoldReport{
+		Order: HoldWorker{Worker: o.Worker}, SentAt: b.now, Born: b.entries[o.Worker].Born,
+		Ended:  []EndedRun{{Number: b.ends[o.Worker], Task: o.Task, Attempt: o.Attempt, Ending: how}},
+		Active: b.activeBut(o),
+	})
+	b.settle()
+}
+
+func (b *bench) activeBut(o StartTask) []ActiveRun {
+	var active []ActiveRun
+	for key, r := range b.m.workers[o.Worker].runs {
+		if r.phase == runConfirmed && key != (runKey{o.Task, o.Attempt}) {
+			active = append(active, ActiveRun{Task: key.task, Attempt: key.attempt, Percent: fullSpeed, Load: -1})
+		}
+	}
+	return active
+}
+
+func (b *bench) submit(id string, steps ...StepSpec) {
+	verdict, _ := b.m.Submit(b.now, JobSpec{
+		ID: id, Queue: "plans", Pool: "pots", Team: "floor", Steps: steps, MaxAttempts: 2, Slack: 1.6, TargetMs: 600,
+		AcceptedMs: b.now.UnixMilli(), FirstSentMs: b.now.UnixMilli(),
+	})
+	assert.Equal(b.t, verdict, Accepted)
+	b.settle()
+}
+
+func (b *bench) state(id string) string {
+	s, known := b.m.State(id)
+	if !known {
+		return "unknown"
+	}
+	return s.String()
+}
+
+func oneCore(count int) StepSpec {
+	return StepSpec{Count: count, CPU: 1000, MemMB: 100, EstimateMs: 1000}
+}
--- a/core/sched/machine.go
+++ b/core/sched/machine.go
@@ -27,7 +27,8 @@
 	departed       map[string]int64 // workers whose machine was taken, with their incarnation
 	waveSeen       map[int64]int64  // when waves became known, in Unix milliseconds
 	served         map[servedKey]bool
-	planned        time.Time              // when machines were last planned
+	planned        time.Time // when machines were last planned
+	replanned      time.Time
 	demand         map[string]*poolDemand // as last measured
 	expecting      bool
 	machinesListed time.Time
--- /dev/null
+++ b/core/sched/machine_test.go
@@ -0,0 +1,261 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestJobRunsStepAfterStep(t *testing.T) {
+	b := newBench(t, 1)
+	second := oneCore(1)
+	second.After = []int{0}
+	b.submit("a", oneCore(2), second)
+	assert.Equal(t, b.state("a"), "queued")
+	starts := b.answerStarts(OK)
+	assert.Equal(t, len(starts), 2)
+	assert.Equal(t, b.state("a"), "in-progress")
+	b.end(starts[0], Done)
+	assert.Equal(t, len(take[StartTask](b)), 0)
+	b.end(starts[1], Done)
+	last := b.answerStarts(OK)
+	assert.Equal(t, last[0].Task.String(), "a.0.1.0")
+	b.end(last[0], Done)
+	assert.Equal(t, b.state("a"), "completed")
+}
+
+func TestNothingIsStartedBeforeItsRecordIsStored(t *testing.T) {
+	b := newBench(t, 1)
+	_, _ = b.m.Submit(b.now, JobSpec{ID: "a", Queue: "plans", Pool: "pots", Steps: []StepSpec{oneCore(1)}})
+	b.m.Decide(b.now)
+	for _, o := range b.m.Orders() {
+		_, isStart := o.(StartTask)
+		assert.Assert(t, !isStart)
+	}
+	assert.Equal(t, b.state("a"), "unknown")
+	batch := b.m.Take()
+	assert.Equal(t, len(batch.Records), 2)
+	assert.Equal(t, len(batch.After), 1)
+}
+
+func TestWorkerWithoutRoomIsAskedAgainThoughNothingElseHappens(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit("a", oneCore(1))
+	b.answerStarts(NoRoom)
+	assert.Equal(t, len(take[StartTask](b)), 0)
+	for range 20 {
+		b.pass(50 * time.Millisecond)
+	}
+	assert.Equal(t, len(take[StartTask](b)), 1)
+}
+
+func TestFailedTasksAreTriedElsewhereUntilTheirAttemptsAreSpent(t *testing.T) {
+	b := newBench(t, 2)
+	b.submit("a", oneCore(1))
+	first := b.answerStarts(OK)[0]
+	b.end(first, Faulted)
+	second := b.answerStarts(OK)[0]
+	assert.Assert(t, second.Worker != first.Worker)
+	assert.Equal(t, second.Attempt, 2)
+	b.end(second, Faulted)
+	assert.Equal(t, b.state("a"), "failed")
+	assert.Equal(t, len(b.answerStarts(OK)), 0)
+}
+
+func TestCancelStopsWhatRunsAndStartsNothing(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit("a", oneCore(6))
+	b.answerStarts(OK)
+	assert.Assert(t, b.m.Cancel(b.now, "a"))
+	b.settle()
+	assert.Equal(t, b.state("a"), "cancelled")
+	assert.Equal(t, len(take[StopTask](b)), 4)
+	assert.Equal(t, len(take[StartTask](b)), 0)
+	assert.Assert(t, !b.m.Cancel(b.now, "nobody"))
+}
+
+func TestStartWithoutAnswer(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		listed   bool // the worker runs it after all
+		expected int  // attempts at the end
+	}{
+		{"the worker has it", true, 1},
+		{"the worker never got it", false, 2},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			b := newBench(t, 1)
+			b.submit("a", oneCore(1))
+			start := take[StartTask](b)[0]
+			for range startRetries + 1 {
+				b.m.Apply(b.now, StartReport{Order: start, Answer: Unknown, SentAt: b.now})
+				b.settle()
+			}
+			stops := take[StopTask](b)
+			assert.Equal(t, len(stops), 1, "the order may still arrive, so it is stopped")
+			b.pass(time.Millisecond)
+			b.m.Apply(b.now, StopReport{Order: stops[0]})
+			b.pass(time.Millisecond)
+			rep := HoldReport{Order: HoldWorker{Worker: "w1"}, SentAt: b.now, Born: 1}
+			if s.listed {
+				rep.Ended = []EndedRun{{Number: 1, Task: start.Task, Attempt: 1, Ending: Done}}
+			}
+			b.m.Apply(b.now, rep)
+			b.settle()
+			assert.Equal(t, b.m.jobs["a"].rounds[0].steps[0].tasks[0].attempts, s.expected)
+		})
+	}
+}
+
+func TestSilentWorkersTasksWaitUntilTheirLeasesLapsed(t *testing.T) {
+	b := newBench(t, 2)
+	b.submit("a", oneCore(1))
+	first := b.answerStarts(OK)[0]
+	for range 60 {
+		b.pass(50 * time.Millisecond)
+		b.answerLooks(first.Worker)
+	}
+	assert.Equal(t, len(take[StartTask](b)), 0, "the lease may still run")
+	for range 60 {
+		b.pass(50 * time.Millisecond)
+		b.answerLooks(first.Worker)
+	}
+	again := take[StartTask](b)
+	assert.Equal(t, len(again), 1)
+	assert.Assert(t, again[0].Worker != first.Worker)
+}
+
+func TestRebornWorkerHoldsNothing(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit("a", oneCore(1))
+	b.answerStarts(OK)
+	e := b.entries["w1"]
+	e.Born = 2
+	b.entries["w1"] = e
+	b.list()
+	b.answerLooks()
+	assert.Equal(t, len(take[StartTask](b)), 1)
+}
+
+func TestLimitOfATeamHolds(t *testing.T) {
+	b := newBench(t, 20)
+	verdict, _ := b.m.Submit(b.now, JobSpec{ID: "a", Queue: "plans", Pool: "pots", Team: "retail", Steps: []StepSpec{oneCore(80)}})
+	assert.Equal(t, verdict, Accepted)
+	b.settle()
+	assert.Equal(t, len(take[StartTask](b)), 64)
+}
+
+func TestGangStartsOnlyWhole(t *testing.T) {
+	gang := oneCore(6)
+	gang.Gang = true
+	b := newBench(t, 1)
+	b.submit("a", gang)
+	assert.Equal(t, len(take[StartTask](b)), 0)
+	b.addWorker("w2", "pots")
+	b.list()
+	b.answerLooks()
+	starts := take[StartTask](b)
+	assert.Equal(t, len(starts), 6)
+	for _, s := range starts {
+		assert.Equal(t, s.Attempt, 1)
+	}
+}
+
+func TestAntiAffinityAndLabels(t *testing.T) {
+	apart := oneCore(4)
+	apart.MostPerWorker = 1
+	labelled := oneCore(1)
+	labelled.Label = "missing"
+	b := newBench(t, 3)
+	b.submit("a", apart)
+	b.submit("b", labelled)
+	assert.Equal(t, len(take[StartTask](b)), 3)
+}
+
+func TestTimedJobBeginsAtItsTimes(t *testing.T) {
+	b := newBench(t, 1)
+	_, _ = b.m.Submit(b.now, JobSpec{
+		ID: "a", Queue: "plans", Pool: "pots", Steps: []StepSpec{oneCore(1)},
+		StartMs: b.now.Add(time.Second).UnixMilli(), IntervalMs: 2000, Repetitions: 2,
+	})
+	b.settle()
+	b.pass(900 * time.Millisecond)
+	assert.Equal(t, len(take[StartTask](b)), 0)
+	b.pass(150 * time.Millisecond)
+	b.answerLooks()
+	assert.Equal(t, take[StartTask](b)[0].Task.String(), "a.0.0.0")
+	b.pass(2 * time.Second)
+	b.answerLooks()
+	assert.Equal(t, take[StartTask](b)[0].Task.String(), "a.1.0.0")
+}
+
+func TestTakeoverReplaysToTheSameJobs(t *testing.T) {
+	b := newBench(t, 2)
+	second := oneCore(1)
+	second.After = []int{0}
+	b.submit("a", oneCore(2), second)
+	starts := b.answerStarts(OK)
+	b.end(starts[0], Done)
+	b.submit("b", oneCore(1))
+	b.answerStarts(OK)
+	b.m.Cancel(b.now, "b")
+	b.settle()
+	for _, records := range [][]Record{b.records, b.m.Snapshot()} {
+		next := New(Options{})
+		for _, r := range records {
+			raw, err := Encode(r)
+			assert.NilError(t, err)
+			decoded, err := Decode(raw)
+			assert.NilError(t, err)
+			assert.NilError(t, next.Replay(decoded))
+		}
+		next.Begin(b.now, 0)
+		a, _ := next.State("a")
+		assert.Equal(t, a, InProgress)
+		cancelled, _ := next.State("b")
+		assert.Equal(t, cancelled, Cancelled)
+		s := next.jobs["a"].rounds[0].steps[0]
+		assert.Equal(t, s.undone, 1)
+		assert.Equal(t, s.running, 1)
+		assert.Equal(t, next.teamOf("floor").used, b.m.teamOf("floor").used)
+	}
+}
+
+func TestNewOwnerAsksBeforeItOrders(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		answer   HoldReport
+		starts   int
+	}{
+		{"still running", HoldReport{Active: []ActiveRun{{Task: TaskID{Job: "a"}, Attempt: 1, Percent: 100}}}, 0},
+		{"ended meanwhile", HoldReport{Ended: []EndedRun{{Number: 1, Task: TaskID{Job: "a"}, Attempt: 1, Ending: Done}}}, 0},
+		{"never arrived", HoldReport{}, 1},
+		{"failed meanwhile", HoldReport{Ended: []EndedRun{{Number: 1, Task: TaskID{Job: "a"}, Attempt: 1, Ending: Faulted}}}, 1},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			before := newBench(t, 2)
+			before.submit("a", oneCore(1))
+			b := &bench{t: t, m: New(Options{}), now: start, entries: before.entries, ends: map[string]int64{}}
+			for _, r := range before.records {
+				assert.NilError(t, b.m.Replay(r))
+			}
+			b.m.Begin(b.now, 0)
+			b.m.Configure(b.now, queueOf4())
+			b.list()
+			assert.Equal(t, len(take[StartTask](b)), 0)
+			ran := before.records[1].(TaskStarted).Worker
+			for _, o := range take[HoldWorker](b) {
+				rep := HoldReport{Order: o, SentAt: b.now, Born: 1}
+				if o.Worker == ran {
+					rep.Active, rep.Ended = s.answer.Active, s.answer.Ended
+				}
+				b.m.Apply(b.now, rep)
+			}
+			b.settle()
+			assert.Equal(t, len(take[StartTask](b)), s.starts)
+		})
+	}
+}
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"mangowing/core/setup"
 )
 
 // candidate is a step with tasks that wait for workers.
@@ -226,7 +224,7 @@
 		if !needs.Fits(w.free()) || !m.suits(now, t, w) {
 			continue
 		}
-		if best == nil || m.better(s, needs, w, best) {
+		if best == nil || m.better(t, w, best) {
 			best = w
 		}
 	}
@@ -239,7 +237,6 @@
 	case !w.hasLabel(s.spec.Label):
 	case s.spec.MostPerWorker > 0 && s.perVM[w.id] >= s.spec.MostPerWorker:
 	case w.suspect(now) && (t.failures > 0 || len(w.runs) > 0):
-	case t.avoid == w.id && t.failures > 0:
 	case m.queueOf(s).Advice.Needed() && !s.hasTicket(w, now):
 	default:
 		return w.usable(now)
@@ -255,9 +252,12 @@
 // lastingWorkers is over how many workers a lasting step is spread.
 const lastingWorkers = 3
 
-// better prefers the data's rack, then a rack that the step runs on already, then sound workers, then the fullest.
-func (m *Machine) better(s *step, needs setup.Resources, a, b *worker) bool {
+// better prefers a worker that the task has not failed on, then the data's rack, then a rack that the step runs on
+// already, then sound workers, then the fullest.
+func (m *Machine) better(t *task, a, b *worker) bool {
+	s := t.step
 	order := cmp.Or(
+		compareBool(t.avoid != a.id, t.avoid != b.id),
 		compareBool(s.nearData(a), s.nearData(b)),
 		compareBool(s.sharesRack(a), s.sharesRack(b)),
 		cmp.Compare(a.faults, b.faults),
