Take a refused repeat of a start as no proof that the task never ran

Now such an attempt is stopped and only what the worker lists counts. Test: TestRefusedRepeatOfAStartProvesNothing failed in five cases, passes.

--- a/core/sched/apply.go
+++ b/core/sched/apply.go
@@ -104,18 +104,32 @@
 		m.confirm(now, r)
 	case Unknown:
 		m.retryStart(now, r, rep.Order)
+	case Outrun, TooLate, NoRoom, NoTicket, Refused, Invalid, WrongLife, Withdrawn, Busy, Fenced:
+		m.refusedStart(now, r, rep.Answer)
+	}
+}
+
+// refusedStart ends an attempt that the worker refused to start. If an order before had no answer, or the worker says that
+// the attempt is over, it may have run: then only what the worker lists tells.
+func (m *Machine) refusedStart(now time.Time, r *run, why Answer) {
+	w := r.worker
+	if r.phase == runUnknown || why == Outrun {
+		r.phase = runUnknown
+		if !r.stopping {
+			m.stopRun(now, r)
+		}
+		return
+	}
+	switch why {
 	case NoRoom:
 		w.full = now.Add(fullPause)
-		m.notBegun(now, r, rep.Answer)
 	case NoTicket:
 		delete(r.task.step.tickets, w.id)
-		m.notBegun(now, r, rep.Answer)
 	case Refused, Invalid, WrongLife:
 		w.rest = now.Add(refusedPause)
-		m.notBegun(now, r, rep.Answer)
 	default:
-		m.notBegun(now, r, rep.Answer)
 	}
+	m.notBegun(now, r, why)
 }
 
 // granted notes that whatever runs on the worker may have been renewed by a call sent then.
--- a/core/sched/machine_test.go
+++ b/core/sched/machine_test.go
@@ -259,3 +259,27 @@
 		})
 	}
 }
+
+// A start whose answer was lost is repeated; the task may have run and ended in between.
+func TestRefusedRepeatOfAStartProvesNothing(t *testing.T) {
+	for _, refusal := range []Answer{Outrun, TooLate, NoRoom, Refused, Invalid} {
+		t.Run(refusal.String(), func(t *testing.T) {
+			b := newBench(t, 2)
+			b.submit("a", oneCore(1))
+			start := take[StartTask](b)[0]
+			b.m.Apply(b.now, StartReport{Order: start, Answer: Unknown, SentAt: b.now})
+			b.settle()
+			assert.Equal(t, len(take[StartTask](b)), 1)
+			b.m.Apply(b.now, StartReport{Order: start, Answer: refusal, SentAt: b.now})
+			b.settle()
+			assert.Equal(t, len(take[StartTask](b)), 0)
+			for _, o := range take[StopTask](b) {
+				b.m.Apply(b.now, StopReport{Order: o})
+			}
+			b.pass(time.Millisecond)
+			b.end(start, Done)
+			assert.Equal(t, b.state("a"), "completed")
+			assert.Equal(t, len(take[StartTask](b)), 0)
+		})
+	}
+}
