Let what was learned of turns outlive its owner, and claim at once what this gate itself had

Cause: each takeover forgot the pools' turns and waited 1.2 s before moving machines; a restarted former owner read the log once more, 500 ms long, before it claimed.

--- a/core/sched/fold.go
+++ b/core/sched/fold.go
@@ -28,6 +28,8 @@
 		m.foldWaveSeen(r)
 	case MachineServed:
 		m.foldServed(r)
+	case TurnSeen:
+		m.turns.fold(r)
 	case SnapshotEnded:
 		if len(m.jobs) != r.Jobs {
 			return eris.Errorf("snapshot of %d jobs replayed to %d", r.Jobs, len(m.jobs))
--- a/core/sched/list.go
+++ b/core/sched/list.go
@@ -6,6 +6,9 @@
 
 // ListWorkers notes the workers that the platform lists; those that are not among them have left or lost touch.
 func (m *Machine) ListWorkers(now time.Time, entries map[string]WorkerEntry) {
+	if m.workersListed.IsZero() {
+		m.workersListed = now
+	}
 	for id, e := range entries {
 		m.listWorker(now, id, e)
 	}
--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -81,7 +81,7 @@
 
 // planMachines gives the orders for maintenance and moves that are due.
 func (m *Machine) planMachines(now time.Time) {
-	if now.Sub(m.planned) < planPeriod || m.machinesListed.IsZero() || m.cfg.Version() == 0 || now.Sub(m.begun) < settleTime {
+	if now.Sub(m.planned) < planPeriod || m.machinesListed.IsZero() || m.workersListed.IsZero() || m.cfg.Version() == 0 || now.Sub(m.workersListed) < settleTime {
 		return
 	}
 	m.planned = now
@@ -101,7 +101,7 @@
 const (
 	planPeriod = 100 * time.Millisecond
 	// A new owner learns what runs where before it takes machines away.
-	settleTime = 1200 * time.Millisecond
+	settleTime = 400 * time.Millisecond
 )
 
 func (m *Machine) workersByMachine() map[string]*worker {
@@ -274,6 +274,7 @@
 		}
 	}
 	m.measureNeeds(now, demand)
+	m.saveTurns()
 	return demand
 }
 
--- a/core/sched/record.go
+++ b/core/sched/record.go
@@ -9,7 +9,7 @@
 const codecVersion = 1
 
 // Record is a fact that lasts: JobAccepted, JobCancelled, TaskStarted, TaskEnded, InboxRead, WaveSeen, MachineServed,
-// SnapshotBegun, JobSaved or SnapshotEnded.
+// TurnSeen, SnapshotBegun, JobSaved or SnapshotEnded.
 type Record interface {
 	record()
 }
@@ -64,6 +64,16 @@
 	Machine string
 }
 
+// TurnSeen says what is known of a pool's turns of high demand.
+type TurnSeen struct {
+	_       struct{} `cbor:",toarray"`
+	Pool    string
+	BeganMs int64   // start of the last turn in Unix milliseconds, 0 if there was none
+	Peak    float64 // core-seconds in a second of its turns
+	Home    float64 // cores of the pool's first machines
+	CycleMs int64   // time between two turns of a pool
+}
+
 // SnapshotBegun says that the whole state follows, up to SnapshotEnded; what was before counts no more.
 type SnapshotBegun struct {
 	_      struct{} `cbor:",toarray"`
@@ -112,6 +122,7 @@
 func (InboxRead) record()     {}
 func (WaveSeen) record()      {}
 func (MachineServed) record() {}
+func (TurnSeen) record()      {}
 func (SnapshotBegun) record() {}
 func (JobSaved) record()      {}
 func (SnapshotEnded) record() {}
@@ -130,6 +141,7 @@
 	tagSnapshotEnded
 	tagWaveSeen
 	tagMachineServed
+	tagTurnSeen
 )
 
 // Encode returns the record's compact binary form.
@@ -163,6 +175,8 @@
 		return tagWaveSeen
 	case MachineServed:
 		return tagMachineServed
+	case TurnSeen:
+		return tagTurnSeen
 	default:
 		return 0
 	}
@@ -194,6 +208,8 @@
 		return decodeAs[WaveSeen](b[2:])
 	case tagMachineServed:
 		return decodeAs[MachineServed](b[2:])
+	case tagTurnSeen:
+		return decodeAs[TurnSeen](b[2:])
 	default:
 		return nil, eris.Errorf("record has the unknown tag %d", b[1])
 	}
--- a/core/sched/snapshot.go
+++ b/core/sched/snapshot.go
@@ -15,6 +15,9 @@
 	for key := range m.served {
 		records = append(records, MachineServed{Wave: key.wave, Machine: key.machine})
 	}
+	for name, t := range m.turns.pools {
+		records = append(records, m.turns.saved(name, t))
+	}
 	return append(records, SnapshotEnded{Jobs: len(m.jobs)})
 }
 
--- a/core/sched/turns.go
+++ b/core/sched/turns.go
@@ -45,6 +45,7 @@
 	began   time.Time // start of the present or last turn
 	turning bool
 	surplus time.Time // since when the pool has more machines than it needs
+	changed bool      // something that a later owner should know
 }
 
 func (p *turnPlan) trend(pool string) *poolTrend {
@@ -99,8 +100,8 @@
 // the given cores.
 func (p *turnPlan) expect(now time.Time, pool string, cores float64) float64 {
 	t := p.trend(pool)
-	if t.home == 0 {
-		t.home = cores
+	if t.home == 0 && cores > 0 {
+		t.home, t.changed = cores, true
 	}
 	p.watch(now, t)
 	rate := t.rate(now)
@@ -127,13 +128,43 @@
 		if !t.began.IsZero() {
 			p.cycle = lasted
 		}
-		t.turning, t.began, t.work = true, now, 0
+		t.turning, t.began, t.work, t.changed = true, now, 0, true
 	case t.turning && lasted >= shortestTurn && rate < overShare*max(t.mean(now), t.height()):
 		t.turning = false
 		if t.peak == 0 {
 			t.peak = t.mean(now)
 		}
 		t.peak += peakWeight * (t.mean(now) - t.peak)
+		t.changed = true
+	}
+}
+
+// fold takes over what an owner before knew of a pool's turns.
+func (p *turnPlan) fold(r TurnSeen) {
+	t := p.trend(r.Pool)
+	t.peak, t.home = r.Peak, r.Home
+	if r.BeganMs > 0 {
+		t.began = time.UnixMilli(r.BeganMs)
+	}
+	p.cycle = time.Duration(r.CycleMs) * time.Millisecond
+}
+
+// saved returns what a later owner should know of a pool's turns.
+func (p *turnPlan) saved(pool string, t *poolTrend) TurnSeen {
+	r := TurnSeen{Pool: pool, Peak: t.peak, Home: t.home, CycleMs: p.cycle.Milliseconds()}
+	if !t.began.IsZero() {
+		r.BeganMs = t.began.UnixMilli()
+	}
+	return r
+}
+
+// saveTurns records what was learned since the last call.
+func (m *Machine) saveTurns() {
+	for name, t := range m.turns.pools {
+		if t.changed {
+			t.changed = false
+			m.emit(m.turns.saved(name, t))
+		}
 	}
 }
 
--- a/gate/owner/keeper.go
+++ b/gate/owner/keeper.go
@@ -30,6 +30,8 @@
 	// Gates claim one after the other, spread over this time.
 	claimSpread = 250 * time.Millisecond
 	readWait    = 500 * time.Millisecond
+	// Wait of a read while the ownership is vacant.
+	vacantWait  = 20 * time.Millisecond
 	callTimeout = time.Second
 	retryPause  = 80 * time.Millisecond
 	beatRetry   = 150 * time.Millisecond
@@ -251,8 +253,8 @@
 	k.mu.Lock()
 	from := k.next
 	wait := readWait
-	if k.view.left || k.view.name == "" {
-		wait = 0
+	if k.vacant() {
+		wait = vacantWait
 	}
 	k.mu.Unlock()
 	readCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
@@ -333,8 +335,7 @@
 	if k.stopped || k.mine != 0 {
 		return false
 	}
-	formerSelf := k.view.name == k.name && k.view.address == k.address
-	if k.view.name == "" || k.view.left || formerSelf {
+	if k.vacant() {
 		return true
 	}
 	patience := silence
@@ -345,6 +346,13 @@
 	return timer.SinceBoot()-k.view.seen > patience && k.readOK > k.view.seen+patience/2
 }
 
+// vacant tells whether nobody has the ownership: none ever had, the owner gave it up, or it was this gate before it was
+// started anew.
+func (k *Keeper) vacant() bool {
+	formerSelf := k.mine == 0 && k.view.name == k.name && k.view.address == k.address
+	return k.view.name == "" || k.view.left || formerSelf
+}
+
 // turn spreads the claims of gates over time.
 func (k *Keeper) turn() time.Duration {
 	h := fnv.New32a()
