--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -245,6 +245,7 @@
 	perVM    float64 // cores of a machine
 	cores    float64 // cores needed
 	need     int     // machines needed
+	least    int     // machines needed for what lasts
 	idle     []*worker
 	held     float64 // cores of lasting tasks
 	urgent   float64 // core-seconds of work that can still be in time
--- a/core/sched/moves.go
+++ b/core/sched/moves.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -17,6 +18,8 @@
 	lastingPatience = 300 * time.Millisecond
 	// Idle machines are sent to the standby pool after this time; another pool may need them before.
 	surplusPatience = time.Second
+	// A pool frees machines for others when it has this many times what it needs.
+	cedeMargin = 1.3
 	// Machines that a pool keeps idle for the start of its next turn.
 	reserveMachines = 1
 )
@@ -44,7 +47,8 @@
 		expected := m.turns.expect(now, name, float64(d.machines)*d.perVM)
 		d.cores = max(urgent[name]/workHorizon.Seconds(), expected) + late[name]/lateHorizon.Seconds() + held[name]
 		d.urgent, d.held = urgent[name], held[name]
-		d.need = max(int(math.Ceil(d.cores/(d.perVM*fillShare)))+reserveMachines, spread[name])
+		d.least = max(int(math.Ceil(held[name]/(d.perVM*fillShare)))+reserveMachines, spread[name])
+		d.need = max(int(math.Ceil(d.cores/(d.perVM*fillShare)))+reserveMachines, d.least)
 		if stuck[name] {
 			d.need = max(d.need, d.machines+1)
 		}
@@ -63,6 +67,68 @@
 	return now.Add(chain).After(by)
 }
 
+// ration shares the machines among the pools in proportion to their needs if there are not enough, and tells whether a
+// pool lacks machines.
+func ration(demand map[string]*poolDemand) (lacking bool) {
+	needed, machines := 0, 0
+	for _, d := range demand {
+		needed += d.need
+		machines += d.machines
+		lacking = lacking || d.machines < d.need
+	}
+	if needed <= machines || needed == 0 {
+		return lacking
+	}
+	for _, d := range demand {
+		d.need = max(min(d.need, d.least), d.need*machines/needed)
+	}
+	return lacking
+}
+
+// cede keeps new tasks off the workers that a pool can do without, those with the least work first, so that they are idle
+// soon.
+func (m *Machine) cede(standby string, demand map[string]*poolDemand, lacking bool) {
+	for name, d := range demand {
+		spare := d.machines - int(math.Ceil(float64(d.need)*cedeMargin)) - len(d.idle)
+		if name == standby || !lacking {
+			spare = 0
+		}
+		workers := m.cedable(name)
+		for i, w := range workers {
+			if ceded := i < spare; ceded != w.ceded {
+				w.ceded = ceded
+				m.wake(name)
+			}
+		}
+	}
+}
+
+// cedable returns the pool's workers without lasting tasks that are not idle, those with the least work first.
+func (m *Machine) cedable(pool string) []*worker {
+	var workers []*worker
+	for _, w := range m.workers {
+		if w.entry.Pool == pool && w.healthy() && (w.ceded || len(w.runs) > 0) && !w.lasting() {
+			workers = append(workers, w)
+		}
+	}
+	slices.SortFunc(workers, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(len(a.runs), len(b.runs)), cmp.Compare(a.id, b.id))
+	})
+	return workers
+}
+
+// surplusLong tells whether the pool has had more machines than it needs for a while.
+func (m *Machine) surplusLong(now time.Time, d *poolDemand) bool {
+	t := m.turns.trend(d.name)
+	switch {
+	case d.machines <= d.need:
+		t.surplus = time.Time{}
+	case t.surplus.IsZero():
+		t.surplus = now
+	}
+	return !t.surplus.IsZero() && now.Sub(t.surplus) >= surplusPatience
+}
+
 // workLeft returns the core-seconds of a job's undone tasks that end by themselves, and the cores of those that last.
 func workLeft(j *job) (batch, lasting float64) {
 	for _, r := range j.rounds {
@@ -118,6 +184,8 @@
 // have too many, and sends those that nobody needs to the standby pool.
 func (m *Machine) planMoves(now time.Time, byMachine map[string]*worker, demand map[string]*poolDemand) {
 	standby := m.standbyPool()
+	rationed := ration(demand)
+	m.cede(standby, demand, rationed)
 	donors := m.donors(now, standby, byMachine, demand)
 	for _, d := range demand {
 		d.reach = (float64(d.machines+len(donors))*d.perVM - d.held) * fillShare
@@ -202,17 +270,7 @@
 
 // park sends idle machines that a pool did not need for a while to the standby pool.
 func (m *Machine) park(now time.Time, d *poolDemand, standby string) {
-	t := m.turns.trend(d.name)
-	switch {
-	case d.name == standby:
-		return
-	case d.machines <= d.need:
-		t.surplus = time.Time{}
-		return
-	case t.surplus.IsZero():
-		t.surplus = now
-	}
-	if now.Sub(t.surplus) < surplusPatience {
+	if d.name == standby || !m.surplusLong(now, d) {
 		return
 	}
 	for _, w := range d.idle {
--- a/core/sched/worker.go
+++ b/core/sched/worker.go
@@ -28,6 +28,7 @@
 	faults   int       // failed attempts since the last good one
 	faulted  time.Time // when the last attempt failed
 	cordoned bool      // no new tasks: the machine is about to be taken away
+	ceded    bool      // no new tasks: its pool has more machines than it needs
 	drainEnd time.Time // a draining worker may leave from then on
 }
 
@@ -52,7 +53,7 @@
 
 // usable tells whether new tasks may be placed on the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.verified && w.silent == 0 && !w.entry.Draining && !w.cordoned &&
+	return w.listed && w.verified && w.silent == 0 && !w.entry.Draining && !w.cordoned && !w.ceded &&
 		!now.Before(w.full) && !now.Before(w.rest)
 }
 
