--- a/core/sched/apply.go
+++ b/core/sched/apply.go
@@ -159,6 +159,9 @@
 // surely does not begin later.
 func (m *Machine) retryStart(now time.Time, r *run, o StartTask) {
 	r.phase = runUnknown
+	if r.worker.silent == 0 {
+		r.worker.silent = 1
+	}
 	if r.stopping {
 		return
 	}
--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -20,9 +20,9 @@
 // Defaults of Options.
 const (
 	defaultLease       = 4500 * time.Millisecond
-	defaultRenewal     = time.Second
+	defaultRenewal     = 700 * time.Millisecond
 	defaultIdleLook    = 2 * time.Second
-	defaultEndsGather  = 60 * time.Millisecond
+	defaultEndsGather  = 50 * time.Millisecond
 	defaultRetention   = 150 * time.Second
 	defaultMaintenance = 2 * time.Second
 	defaultMigration   = 1500 * time.Millisecond
--- a/gate/lead/orders.go
+++ b/gate/lead/orders.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	orderLimit   = 900 * time.Millisecond
-	holdSlack    = 900 * time.Millisecond
+	orderLimit   = 500 * time.Millisecond
+	holdSlack    = 450 * time.Millisecond
 	machineLimit = 3 * time.Second
 	adviceLimit  = 3 * time.Second
 )
