Believe that a machine was taken only when a list shows it

Also: orders for maintenance without an answer are repeated and count as down meanwhile, and a pool that can't spare a machine for a wave gets one more. Tests: core/sched/waves_test.go.

--- a/core/sched/apply.go
+++ b/core/sched/apply.go
@@ -14,6 +14,8 @@
 	// Time between two looks at a worker that does not answer.
 	silentLook = 300 * time.Millisecond
 	stopRepeat = 400 * time.Millisecond
+	// Time between the end of a stopped run and its entry in the worker's list.
+	stopMargin = 200 * time.Millisecond
 )
 
 // Apply notes the outcome of an order.
@@ -183,7 +185,8 @@
 		return
 	}
 	if rep.Answer == OK {
-		r.settled = now
+		// While it stops, the worker lists it neither as active nor as ended.
+		r.settled = now.Add(m.options.StopLimit + stopMargin)
 		r.worker.nextHold = now
 	}
 }
--- a/core/sched/machine.go
+++ b/core/sched/machine.go
@@ -32,6 +32,7 @@
 	demand         map[string]*poolDemand // as last measured
 	expecting      bool
 	machinesListed time.Time
+	machinesNews   bool
 	workersListed  time.Time // when the first list of workers came
 	counters       Counters
 	out            Batch
--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -23,7 +23,7 @@
 	heading  string    // pool that it was told to move to, empty if it is not moving
 	serving  int64     // wave that it was told to go down for, 0 for none
 	ordered  time.Time // when it was last told to move or to go down
-	answered bool      // the order took effect
+	answered time.Time // when it was known that the order took effect, now or before
 	refused  time.Time // it refused an order; not asked again before
 }
 
@@ -32,29 +32,36 @@
 	switch {
 	case h.ordered.IsZero():
 		return false
-	case !h.answered:
+	case h.answered.IsZero():
 		return now.Sub(h.ordered) < machineDoubt
 	case h.serving != 0:
-		return now.Sub(h.ordered) < o.Maintenance+joinMargin
+		// The next list tells whether it is back.
+		return true
 	default:
-		return now.Sub(h.ordered) < o.Migration+moveMargin
+		return now.Sub(h.answered) < o.Migration+moveMargin
 	}
 }
 
-// ListMachines notes the machines that the platform lists.
-func (m *Machine) ListMachines(now time.Time, entries []MachineEntry) {
+// ListMachines notes the machines that the platform lists, by a call that was sent at that time.
+func (m *Machine) ListMachines(now, asked time.Time, entries []MachineEntry) {
 	seen := map[string]bool{}
 	for _, e := range entries {
 		seen[e.ID] = true
-		known, found := m.machines[e.ID]
+		h, found := m.machines[e.ID]
 		if !found {
-			known = &machine{}
-			m.machines[e.ID] = known
+			h = &machine{}
+			m.machines[e.ID] = h
 		}
-		if found && known.busy(now, m.options) {
-			continue
+		if !h.answered.IsZero() && asked.After(h.answered) {
+			m.confirmTaken(now, h, e)
+		}
+		back := h.serving != 0 && !h.answered.IsZero() && asked.Sub(h.answered) >= m.options.Maintenance
+		if back && e.State == MachineUp {
+			h.reset()
+		}
+		if !h.busy(now, m.options) {
+			h.entry = e
 		}
-		known.entry = e
 	}
 	for id := range m.machines {
 		if !seen[id] {
@@ -64,18 +71,49 @@
 	m.machinesListed = now
 }
 
-// settleMachines takes over what the machines' orders have led to, without waiting for the next list.
-func (m *Machine) settleMachines(now time.Time) {
+// reset forgets the order to a machine.
+func (h *machine) reset() {
+	h.heading, h.serving, h.ordered, h.answered = "", 0, time.Time{}, time.Time{}
+}
+
+// confirmTaken ends what ran on a machine that was taken, as a list shows that was asked for after the order's answer. An
+// answer alone proves nothing: it is the same if the machine had been taken for that before.
+func (m *Machine) confirmTaken(now time.Time, h *machine, e MachineEntry) {
+	for _, w := range m.workers {
+		if w.entry.Machine != e.ID || !w.listed || !w.cordoned {
+			continue
+		}
+		if e.State == MachineUp && e.Worker == w.id {
+			m.decide(now, "machine-not-taken", "", e.ID, "it had been before")
+			m.released(e.ID)
+			h.reset()
+			return
+		}
+		m.departed[w.id] = w.born
+		m.gone(now, w, "its machine was taken")
+	}
+}
+
+// settleMachines takes over what moves have led to, without waiting for the next list, and repeats orders for maintenance
+// that had no answer.
+func (m *Machine) settleMachines(now time.Time, byMachine map[string]*worker) {
 	m.expecting = false
 	for _, h := range m.machines {
 		if h.busy(now, m.options) {
 			m.expecting = true
 			continue
 		}
-		if h.answered && h.heading != "" {
+		if !h.answered.IsZero() && h.heading != "" {
 			h.entry.Pool = h.heading
 		}
-		h.heading, h.serving, h.ordered, h.answered = "", 0, time.Time{}, false
+		if h.serving != 0 {
+			m.orderMachine(now, h, byMachine[h.entry.ID], ServiceMachine{Machine: h.entry.ID, Wave: h.serving})
+			continue
+		}
+		if !h.ordered.IsZero() {
+			m.released(h.entry.ID)
+		}
+		h.reset()
 	}
 }
 
@@ -85,8 +123,8 @@
 		return
 	}
 	m.planned = now
-	m.settleMachines(now)
 	byMachine := m.workersByMachine()
+	m.settleMachines(now, byMachine)
 	demand := m.measureDemand(now, byMachine)
 	m.demand = demand
 	m.planWaves(now, byMachine, demand)
@@ -98,6 +136,14 @@
 // Expecting tells whether machines are on their way, so that new workers are to be listed soon.
 func (m *Machine) Expecting() bool { return m.expecting }
 
+// MachinesNews tells whether the list of machines should be asked for at once, since an order to one was answered; it
+// tells so once.
+func (m *Machine) MachinesNews() bool {
+	news := m.machinesNews
+	m.machinesNews = false
+	return news
+}
+
 const (
 	planPeriod = 100 * time.Millisecond
 	// A new owner learns what runs where before it takes machines away.
@@ -177,16 +223,6 @@
 	}
 }
 
-// taken ends what ran on a machine that was moved or taken down.
-func (m *Machine) taken(now time.Time, id string, why string) {
-	for _, w := range m.workers {
-		if w.entry.Machine == id && w.listed {
-			m.departed[w.id] = w.born
-			m.gone(now, w, why)
-		}
-	}
-}
-
 // released uncordons the worker of a machine that was not taken after all.
 func (m *Machine) released(id string) {
 	for _, w := range m.workers {
@@ -199,7 +235,7 @@
 
 // orderMachine notes an order to a machine.
 func (m *Machine) orderMachine(now time.Time, h *machine, w *worker, o Order) {
-	h.ordered, h.answered = now, false
+	h.ordered, h.answered = now, time.Time{}
 	if w != nil {
 		w.leave()
 	}
@@ -224,8 +260,8 @@
 	}
 	switch answer {
 	case OK:
-		h.answered, h.ordered = true, now
-		m.taken(now, id, why)
+		h.answered = now
+		m.machinesNews = true
 	case Unknown:
 		m.decide(now, "machine-order-unanswered", "", id, why)
 	case Fenced:
@@ -233,7 +269,7 @@
 	default:
 		m.decide(now, "machine-order-refused", "", id, answer.String()+": "+why)
 		h.refused = now.Add(refusedPause)
-		h.heading, h.serving, h.ordered = "", 0, time.Time{}
+		h.reset()
 		m.released(id)
 	}
 }
--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -11,6 +11,7 @@
 	Retention   time.Duration // how long an ended job can be asked for
 	Maintenance time.Duration // how long a machine is away for maintenance
 	Migration   time.Duration // how long a machine is away when it moves
+	StopLimit   time.Duration // a worker takes at most this long to stop a task
 	Notice      time.Duration // a lasting task that is away for longer counts as unavailable for any cause
 	Harm        time.Duration // a serving task may be over its target for this long
 	Checkpoint  time.Duration // work between two checkpoints
@@ -26,6 +27,7 @@
 	defaultRetention   = 150 * time.Second
 	defaultMaintenance = 2 * time.Second
 	defaultMigration   = 1500 * time.Millisecond
+	defaultStopLimit   = 400 * time.Millisecond
 	defaultNotice      = 4500 * time.Millisecond
 	defaultHarm        = 4 * time.Second
 	defaultCheckpoint  = 2 * time.Second
@@ -43,6 +45,7 @@
 		{&o.Retention, defaultRetention},
 		{&o.Maintenance, defaultMaintenance},
 		{&o.Migration, defaultMigration},
+		{&o.StopLimit, defaultStopLimit},
 		{&o.Notice, defaultNotice},
 		{&o.Harm, defaultHarm},
 		{&o.Checkpoint, defaultCheckpoint},
--- a/core/sched/waves.go
+++ b/core/sched/waves.go
@@ -129,13 +129,14 @@
 
 func (m *Machine) takeForWave(now time.Time, wv *wave, left []*machine, room int, byMachine map[string]*worker, demand map[string]*poolDemand) {
 	hurry := m.hurries(now, wv, len(left))
-	cordoned := 0
+	cordoned, wanting := 0, map[string]bool{}
 	for _, h := range left {
 		w := byMachine[h.entry.ID]
 		if h.entry.State != MachineUp || h.busy(now, m.options) || now.Before(h.refused) {
 			continue
 		}
 		if w != nil && !m.spares(h, w, demand, hurry) {
+			wanting[h.entry.Pool] = true
 			continue
 		}
 		if room > 0 && m.drained(w, hurry) {
@@ -152,6 +153,10 @@
 			m.evacuate(now, w)
 		}
 	}
+	// A pool that can't spare a machine gets one more, so that its others can be taken one after the other.
+	for pool := range wanting {
+		demand[pool].need++
+	}
 }
 
 // evacuate stops lasting tasks on a cordoned worker, as many as may be away, so that they go on elsewhere.
--- /dev/null
+++ b/core/sched/waves_test.go
@@ -0,0 +1,130 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// listMachines lists the machines of all workers as up, but for those named.
+func (b *bench) listMachines(inService ...string) {
+	var entries []MachineEntry
+	for id, e := range b.entries {
+		m := MachineEntry{ID: e.Machine, Pool: e.Pool, Worker: id, Capacity: e.Capacity}
+		for _, away := range inService {
+			if away == e.Machine {
+				m.State, m.Worker = MachineInService, ""
+			}
+		}
+		entries = append(entries, m)
+	}
+	b.m.ListMachines(b.now, b.now, entries)
+	b.settle()
+}
+
+// wait lets time pass while all workers answer.
+func (b *bench) wait(d time.Duration, inService ...string) {
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.pass(100 * time.Millisecond)
+		b.answerLooks()
+		b.listMachines(inService...)
+	}
+}
+
+func (b *bench) declareWave(most int, machines ...string) {
+	b.m.AddWave(b.now, Wave{Number: 1, Machines: machines, Duration: 30 * time.Second, Most: most})
+}
+
+func lastingStep(count, most int) StepSpec {
+	s := oneCore(count)
+	s.Lasting, s.MaxUnavailable, s.MostPerWorker, s.EstimateMs = true, 1, most, 0
+	return s
+}
+
+func TestWaveTakesNoMoreMachinesThanMayBeDown(t *testing.T) {
+	b := newBench(t, 6)
+	b.listMachines()
+	var names []string
+	for i := range 6 {
+		names = append(names, fmt.Sprintf("m-w%d", i+1))
+	}
+	b.declareWave(2, names...)
+	b.wait(time.Second)
+	taken := take[ServiceMachine](b)
+	assert.Equal(t, len(taken), 2)
+	for _, o := range taken {
+		b.m.Apply(b.now, ServiceReport{Order: o})
+	}
+	down := []string{taken[0].Machine, taken[1].Machine}
+	// Longer than a machine is said to be away: only the list tells that it is back.
+	b.wait(3*time.Second, down...)
+	assert.Equal(t, len(take[ServiceMachine](b)), 0)
+	b.wait(time.Second, down[0])
+	assert.Equal(t, len(take[ServiceMachine](b)), 1)
+}
+
+func TestOrderWithoutAnswerCountsAsDownAndIsRepeated(t *testing.T) {
+	b := newBench(t, 3)
+	b.listMachines()
+	b.declareWave(1, "m-w1", "m-w2", "m-w3")
+	b.wait(time.Second)
+	first := take[ServiceMachine](b)
+	assert.Equal(t, len(first), 1)
+	b.m.Apply(b.now, ServiceReport{Order: first[0], Answer: Unknown})
+	b.wait(3 * time.Second)
+	assert.Equal(t, len(take[ServiceMachine](b)), 0)
+	b.wait(2 * time.Second)
+	assert.DeepEqual(t, take[ServiceMachine](b), first)
+}
+
+// The order is answered alike if the machine had its maintenance before, under another owner.
+func TestMaintenanceDoneBeforeEndsNothing(t *testing.T) {
+	b := newBench(t, 3)
+	b.submit("a", lastingStep(1, 1))
+	start := b.answerStarts(OK)[0]
+	b.listMachines()
+	b.declareWave(1, "m-"+start.Worker)
+	b.wait(2 * time.Second)
+	order := take[ServiceMachine](b)[0]
+	b.m.Apply(b.now, ServiceReport{Order: order})
+	b.wait(time.Second)
+	assert.Equal(t, len(take[StartTask](b)), 0, "the task still runs")
+	assert.Equal(t, b.m.workers[start.Worker].cordoned, false)
+}
+
+func TestMaintenanceTakesLastingTasksOneAfterTheOther(t *testing.T) {
+	b := newBench(t, 5)
+	b.submit("a", lastingStep(2, 1))
+	starts := b.answerStarts(OK)
+	assert.Equal(t, len(starts), 2)
+	b.listMachines()
+	b.wait(time.Second)
+	b.declareWave(3, "m-"+starts[0].Worker, "m-"+starts[1].Worker)
+	b.wait(2 * time.Second)
+	taken := take[ServiceMachine](b)
+	assert.Equal(t, len(taken), 1, "one task may be away")
+	b.m.Apply(b.now, ServiceReport{Order: taken[0]})
+	b.wait(time.Second, taken[0].Machine)
+	assert.Equal(t, len(b.answerStarts(OK)), 1, "it goes on elsewhere")
+	b.wait(time.Second, taken[0].Machine)
+	assert.Equal(t, len(take[ServiceMachine](b)), 1)
+}
+
+func TestWaveIsCompletedOnceAllItsMachinesAreDone(t *testing.T) {
+	b := newBench(t, 4)
+	b.listMachines()
+	b.declareWave(2, "m-w1", "m-w2", "m-removed")
+	b.wait(time.Second)
+	assert.DeepEqual(t, take[ReportWave](b), []ReportWave{{Wave: 1}})
+	taken := take[ServiceMachine](b)
+	assert.Equal(t, len(taken), 2)
+	for _, o := range taken {
+		b.m.Apply(b.now, ServiceReport{Order: o})
+	}
+	b.wait(time.Second, "m-w1", "m-w2")
+	assert.Equal(t, len(take[ReportWave](b)), 0)
+	b.wait(3 * time.Second)
+	assert.DeepEqual(t, take[ReportWave](b), []ReportWave{{Wave: 1, Completed: true}})
+}
--- a/gate/lead/term.go
+++ b/gate/lead/term.go
@@ -34,7 +34,8 @@
 	journal      *journal
 	reports      chan sched.Report
 	lists        chan map[string]sched.WorkerEntry
-	machines     chan []sched.MachineEntry
+	machines     chan machineList
+	machinesNews chan struct{} // ticks when the machines should be listed at once
 	inbox        chan ports.Page
 	stored       chan storedGroup
 	targets      map[string]ports.Target
@@ -71,15 +72,16 @@
 func newTerm(s *Service, epoch int64) *term {
 	return &term{
 		Service: s, epoch: epoch, machine: sched.New(s.deps.Options),
-		journal:  &journal{log: s.deps.Log, epoch: epoch},
-		reports:  make(chan sched.Report, reportsQueue),
-		lists:    make(chan map[string]sched.WorkerEntry, 1),
-		machines: make(chan []sched.MachineEntry, 1),
-		inbox:    make(chan ports.Page, 1),
-		stored:   make(chan storedGroup, 1),
-		targets:  map[string]ports.Target{},
-		configs:  s.deps.Configs.Subscribe(),
-		snapshot: time.Now(),
+		journal:      &journal{log: s.deps.Log, epoch: epoch},
+		reports:      make(chan sched.Report, reportsQueue),
+		lists:        make(chan map[string]sched.WorkerEntry, 1),
+		machines:     make(chan machineList, 1),
+		machinesNews: make(chan struct{}, 1),
+		inbox:        make(chan ports.Page, 1),
+		stored:       make(chan storedGroup, 1),
+		targets:      map[string]ports.Target{},
+		configs:      s.deps.Configs.Subscribe(),
+		snapshot:     time.Now(),
 	}
 }
 
@@ -126,6 +128,9 @@
 		now := time.Now()
 		t.machine.Decide(now)
 		t.expecting.Store(t.machine.Expecting())
+		if t.machine.MachinesNews() {
+			notify(t.machinesNews)
+		}
 		t.pump(ctx)
 		t.logDecisions()
 		t.logLoads(now)
@@ -149,8 +154,8 @@
 			}
 		case entries := <-t.lists:
 			t.listWorkers(entries)
-		case entries := <-t.machines:
-			t.machine.ListMachines(time.Now(), entries)
+		case l := <-t.machines:
+			t.machine.ListMachines(time.Now(), l.asked, l.entries)
 		case page := <-t.inbox:
 			t.takeInbox(time.Now(), page)
 		case <-t.configs:
@@ -160,6 +165,14 @@
 	}
 }
 
+// notify ticks a channel that holds one tick.
+func notify(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // drain takes what else has arrived, so that one decision serves it all.
 func (t *term) drain() {
 	for range eventsAtOnce {
--- a/gate/lead/watch.go
+++ b/gate/lead/watch.go
@@ -18,6 +18,8 @@
 	expectingPeriod = 120 * time.Millisecond
 	directoryLimit  = 2 * time.Second
 	machinesPeriod  = time.Second
+	takenPeriod     = 350 * time.Millisecond // while machines are away
+	machinesPause   = 60 * time.Millisecond
 	// Entries that lapsed while the platform was away are back this long after its return, or are gone.
 	returnGrace = 2500 * time.Millisecond
 )
@@ -165,9 +167,16 @@
 	return t.deps.Log.Read(ctx, inboxTopic, from, readWait)
 }
 
-// watchMachines lists the machines at a pace.
+// machineList is an answer of the machines' interface.
+type machineList struct {
+	asked   time.Time
+	entries []sched.MachineEntry
+}
+
+// watchMachines lists the machines at a pace, and at once when an order to one was answered.
 func (t *term) watchMachines(ctx context.Context) {
 	for ctx.Err() == nil {
+		asked := time.Now()
 		listCtx, cancel := context.WithTimeout(ctx, machineLimit)
 		entries, err := t.deps.Machines.List(listCtx)
 		cancel()
@@ -175,10 +184,25 @@
 			klog.V(1).InfoS("machines-not-listed", "error", err.Error())
 		} else {
 			select {
-			case t.machines <- entries:
+			case t.machines <- machineList{asked, entries}:
 			case <-ctx.Done():
 			}
 		}
-		pause(ctx, machinesPeriod)
+		t.waitForMachines(ctx)
+	}
+}
+
+func (t *term) waitForMachines(ctx context.Context) {
+	pause(ctx, machinesPause)
+	period := machinesPeriod
+	if t.expecting.Load() {
+		period = takenPeriod
+	}
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-t.machinesNews:
+	case <-ctx.Done():
 	}
 }
