--- a/core/sched/apply.go
+++ b/core/sched/apply.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 )
 
@@ -184,8 +185,9 @@
 	if r == nil {
 		return
 	}
-	if rep.Answer == OK {
+	if rep.Answer == OK && !r.stopped {
 		// While it stops, the worker lists it neither as active nor as ended.
+		r.stopped = true
 		r.settled = now.Add(m.options.StopLimit + stopMargin)
 		r.worker.nextHold = now
 	}
@@ -329,8 +331,8 @@
 
 // settle ends the attempts that a worker would have listed if it had them.
 func (m *Machine) settle(now time.Time, w *worker, listed map[runKey]bool, sentAt time.Time) {
-	for key, r := range w.runs {
-		if listed[key] {
+	for _, r := range slices.Clone(w.order) {
+		if listed[r.key()] {
 			continue
 		}
 		settled := !r.settled.IsZero() && sentAt.After(r.settled)
@@ -345,7 +347,7 @@
 	m.decide(now, "worker-reborn", "", w.id, "")
 	w.seen, w.stored, w.faults = 0, 0, 0
 	w.born = born
-	for _, r := range runsOf(w) {
+	for _, r := range slices.Clone(w.order) {
 		if r.phase == runUnknown || r.phase == runOrdered {
 			// The order may still arrive, and the new incarnation would take it.
 			m.stopRun(now, r)
@@ -358,24 +360,17 @@
 // gone ends all attempts on a worker that surely runs no more.
 func (m *Machine) gone(now time.Time, w *worker, why string) {
 	m.decide(now, "worker-gone", "", w.id, why)
-	for _, r := range runsOf(w) {
+	for _, r := range slices.Clone(w.order) {
 		m.endRun(now, r, Lost, "")
 	}
 	w.listed = false
 	m.dropUnused(w)
 }
 
-func runsOf(w *worker) []*run {
-	runs := make([]*run, 0, len(w.runs))
-	for _, r := range w.runs {
-		runs = append(runs, r)
-	}
-	return runs
-}
-
 // dropUnused forgets a worker that is not listed and holds nothing.
 func (m *Machine) dropUnused(w *worker) {
 	if !w.listed && len(w.runs) == 0 && !w.holding {
 		delete(m.workers, w.id)
+		m.byID = slices.DeleteFunc(m.byID, func(other *worker) bool { return other == w })
 	}
 }
--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 )
 
@@ -34,7 +35,7 @@
 	m.repeatStops(now)
 	m.planMachines(now)
 	m.replan(now)
-	for _, p := range m.pools {
+	for _, p := range m.poolOrder {
 		m.place(now, p)
 	}
 	m.setPaces(now)
@@ -52,13 +53,13 @@
 
 // lapse ends the attempts on workers that were silent until all leases there surely ran out.
 func (m *Machine) lapse(now time.Time) {
-	for _, w := range m.workers {
+	for _, w := range slices.Clone(m.byID) {
 		if w.silent == 0 && w.verified && w.listed || now.Before(w.lapse) {
 			continue
 		}
 		if len(w.runs) > 0 && (w.silent > 0 || !w.verified) {
 			m.decide(now, "leases-lapsed", "", w.id, "")
-			for _, r := range runsOf(w) {
+			for _, r := range slices.Clone(w.order) {
 				m.endRun(now, r, Lapsed, "")
 			}
 		}
@@ -78,12 +79,12 @@
 }
 
 func (m *Machine) repeatStops(now time.Time) {
-	for _, w := range m.workers {
+	for _, w := range m.byID {
 		if w.silent > 0 {
 			continue
 		}
-		for _, r := range w.runs {
-			if r.stopping && now.Sub(r.stopSent) >= stopRepeat {
+		for _, r := range w.order {
+			if r.stopping && !r.stopped && now.Sub(r.stopSent) >= stopRepeat {
 				m.stopRun(now, r)
 			}
 		}
@@ -92,7 +93,7 @@
 
 // look asks the workers whose turn it is what they run, and renews it.
 func (m *Machine) look(now time.Time) {
-	for _, w := range m.workers {
+	for _, w := range m.byID {
 		if w.holding || now.Before(w.nextHold) || !w.listed && len(w.runs) == 0 {
 			continue
 		}
--- a/core/sched/fold.go
+++ b/core/sched/fold.go
@@ -50,6 +50,7 @@
 	clear(m.workers)
 	clear(m.teams)
 	clear(m.pools)
+	m.byID, m.poolOrder = nil, nil
 }
 
 func (m *Machine) foldAccepted(r JobAccepted) *job {
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -222,6 +222,7 @@
 	began     time.Time // when the worker was known to run it
 	settled   time.Time // a worker that does not list the run in an answer to a later call does not have it
 	stopping  bool
+	stopped   bool // the worker has acknowledged the stop
 	leaving   bool // its machine is about to be taken away
 	stopSent  time.Time
 	percent   int
--- a/core/sched/list.go
+++ b/core/sched/list.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -9,16 +11,16 @@
 	if m.workersListed.IsZero() {
 		m.workersListed = now
 	}
-	for id, e := range entries {
-		m.listWorker(now, id, e)
+	for _, id := range slices.Sorted(maps.Keys(entries)) {
+		m.listWorker(now, id, entries[id])
 	}
 	for id := range m.departed {
 		if _, listed := entries[id]; !listed {
 			delete(m.departed, id)
 		}
 	}
-	for id, w := range m.workers {
-		if _, listed := entries[id]; !listed && w.listed {
+	for _, w := range slices.Clone(m.byID) {
+		if _, listed := entries[w.id]; !listed && w.listed {
 			m.unlist(now, w)
 		}
 	}
--- a/core/sched/load.go
+++ b/core/sched/load.go
@@ -48,7 +48,7 @@
 	for _, name := range m.cfg.Pools() {
 		byName[name] = &Load{pool: name, rate: m.turns.trend(name).rate(now)}
 	}
-	for _, w := range m.workers {
+	for _, w := range m.byID {
 		l, found := byName[w.entry.Pool]
 		if !found {
 			continue
@@ -59,8 +59,8 @@
 			l.idle += w.free().Cores()
 		}
 	}
-	for name, p := range m.pools {
-		if l, found := byName[name]; found {
+	for _, p := range m.poolOrder {
+		if l, found := byName[p.name]; found {
 			for s := range p.waiting {
 				l.waiting += s.waiting
 			}
--- a/core/sched/machine.go
+++ b/core/sched/machine.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"mangowing/core/setup"
@@ -16,8 +18,10 @@
 	jobs           map[string]*job
 	early          map[string]bool // cancelled before the job itself arrived
 	workers        map[string]*worker
+	byID           []*worker // the same in order of their ids
 	teams          map[string]*team
 	pools          map[string]*pool
+	poolOrder      []*pool // the same in the order in which they were met
 	inbox          int64
 	finished       []*job // in the order in which they ended
 	machines       map[string]*machine
@@ -112,7 +116,7 @@
 			}
 		}
 	}
-	for _, w := range m.workers {
+	for _, w := range m.byID {
 		w.verified, w.nextHold = false, now
 		w.lapse = now.Add(renewed + m.options.lapseAfter())
 	}
@@ -211,6 +215,7 @@
 	if !found {
 		p = &pool{name: name, waiting: map[*step]bool{}, running: map[string]float64{}}
 		m.pools[name] = p
+		m.poolOrder = append(m.poolOrder, p)
 	}
 	return p
 }
@@ -230,7 +235,7 @@
 func (m *Machine) wake(pool string) { m.poolOf(pool).dirty = true }
 
 func (m *Machine) wakeAll() {
-	for _, p := range m.pools {
+	for _, p := range m.poolOrder {
 		p.dirty = true
 	}
 }
@@ -240,6 +245,8 @@
 	if !found {
 		w = &worker{id: id, entry: WorkerEntry{ID: id}, runs: map[runKey]*run{}}
 		m.workers[id] = w
+		at, _ := slices.BinarySearchFunc(m.byID, id, func(w *worker, id string) int { return cmp.Compare(w.id, id) })
+		m.byID = slices.Insert(m.byID, at, w)
 	}
 	return w
 }
--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -79,7 +79,7 @@
 // confirmTaken ends what ran on a machine that was taken, as a list shows that was asked for after the order's answer. An
 // answer alone proves nothing: it is the same if the machine had been taken for that before.
 func (m *Machine) confirmTaken(now time.Time, h *machine, e MachineEntry) {
-	for _, w := range m.workers {
+	for _, w := range slices.Clone(m.byID) {
 		if w.entry.Machine != e.ID || !w.listed || !w.cordoned {
 			continue
 		}
@@ -98,7 +98,8 @@
 // that had no answer.
 func (m *Machine) settleMachines(now time.Time, byMachine map[string]*worker) {
 	m.expecting = false
-	for _, h := range m.machines {
+	for _, id := range sortedIDs(m.machines) {
+		h := m.machines[id]
 		if h.busy(now, m.options) {
 			m.expecting = true
 			continue
@@ -152,7 +153,7 @@
 
 func (m *Machine) workersByMachine() map[string]*worker {
 	byMachine := make(map[string]*worker, len(m.workers))
-	for _, w := range m.workers {
+	for _, w := range m.byID {
 		if w.listed && w.entry.Machine != "" {
 			byMachine[w.entry.Machine] = w
 		}
@@ -172,7 +173,7 @@
 
 // lasting tells whether a task that lasts runs on the worker.
 func (w *worker) lasting() bool {
-	for _, r := range w.runs {
+	for _, r := range w.order {
 		if r.needs().Lasting {
 			return true
 		}
@@ -183,7 +184,7 @@
 // batch counts the runs on the worker that end by themselves.
 func (w *worker) batch() int {
 	n := 0
-	for _, r := range w.runs {
+	for _, r := range w.order {
 		if !r.needs().Lasting {
 			n++
 		}
@@ -195,7 +196,7 @@
 // away at once.
 func (w *worker) mayTake() bool {
 	leaving := map[*step]int{}
-	for _, r := range w.runs {
+	for _, r := range w.order {
 		if s := r.task.step; s.spec.MaxUnavailable > 0 {
 			leaving[s]++
 		}
@@ -211,21 +212,21 @@
 // leave marks the lasting tasks on the worker as away, and cordons it.
 func (w *worker) leave() {
 	w.cordoned = true
-	for _, r := range w.runs {
+	for _, r := range w.order {
 		r.leaving = true
 	}
 }
 
 func (w *worker) stay() {
 	w.cordoned = false
-	for _, r := range w.runs {
+	for _, r := range w.order {
 		r.leaving = false
 	}
 }
 
 // released uncordons the worker of a machine that was not taken after all.
 func (m *Machine) released(id string) {
-	for _, w := range m.workers {
+	for _, w := range m.byID {
 		if w.entry.Machine == id {
 			w.stay()
 			m.wake(w.entry.Pool)
--- a/core/sched/moves.go
+++ b/core/sched/moves.go
@@ -88,7 +88,8 @@
 // cede keeps new tasks off the workers that a pool can do without, those with the least work first, so that they are idle
 // soon.
 func (m *Machine) cede(standby string, demand map[string]*poolDemand, lacking bool) {
-	for name, d := range demand {
+	for _, name := range m.cfg.Pools() {
+		d := demand[name]
 		spare := d.machines - int(math.Ceil(float64(d.need)*cedeMargin)) - len(d.idle)
 		if name == standby || !lacking {
 			spare = 0
@@ -106,7 +107,7 @@
 // cedable returns the pool's workers without lasting tasks that are not idle, those with the least work first.
 func (m *Machine) cedable(pool string) []*worker {
 	var workers []*worker
-	for _, w := range m.workers {
+	for _, w := range m.byID {
 		if w.entry.Pool == pool && w.healthy() && (w.ceded || len(w.runs) > 0) && !w.lasting() {
 			workers = append(workers, w)
 		}
@@ -204,8 +205,8 @@
 	if standby == "" {
 		return
 	}
-	for _, d := range demand {
-		m.park(now, d, standby)
+	for _, name := range m.cfg.Pools() {
+		m.park(now, demand[name], standby)
 	}
 }
 
--- a/core/sched/pace.go
+++ b/core/sched/pace.go
@@ -31,22 +31,22 @@
 
 // setPaces slows tasks that fill beside serving tasks near their target, and lets them go again.
 func (m *Machine) setPaces(now time.Time) {
-	for _, w := range m.workers {
+	for _, w := range m.byID {
 		if w.heard == now && w.verified {
-			m.setPacesOn(now, w)
+			m.setPacesOn(w)
 		}
 	}
 }
 
-func (m *Machine) setPacesOn(now time.Time, w *worker) {
+func (m *Machine) setPacesOn(w *worker) {
 	worst, serving := 0.0, false
-	for _, r := range w.runs {
+	for _, r := range w.order {
 		if spec := r.needs(); spec.Serves() && r.load >= 0 {
 			serving = true
 			worst = max(worst, float64(r.load)/float64(spec.TargetMs))
 		}
 	}
-	for _, r := range w.runs {
+	for _, r := range w.order {
 		if !r.needs().Fills || r.phase != runConfirmed || r.stopping || r.pacing {
 			continue
 		}
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -84,7 +84,7 @@
 
 // compareCandidates lets what was begun go first, then what must start earliest.
 func compareCandidates(a, b candidate) int {
-	return cmp.Or(a.by.Compare(b.by), cmp.Compare(a.step.job().spec.ID, b.step.job().spec.ID), cmp.Compare(a.step.number, b.step.number))
+	return cmp.Or(a.by.Compare(b.by), cmp.Compare(a.step.job().spec.ID, b.step.job().spec.ID), cmp.Compare(a.step.round.number, b.step.round.number), cmp.Compare(a.step.number, b.step.number))
 }
 
 // placeClass gives the teams turns: the one with the least running for its weight goes next.
@@ -122,12 +122,11 @@
 
 func (m *Machine) usableIn(pool string, now time.Time) []*worker {
 	var workers []*worker
-	for _, w := range m.workers {
+	for _, w := range m.byID {
 		if w.entry.Pool == pool && w.usable(now) {
 			workers = append(workers, w)
 		}
 	}
-	slices.SortFunc(workers, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
 	return workers
 }
 
@@ -282,7 +281,7 @@
 // clash counts the runs that a new task of the step would disturb or be disturbed by.
 func (w *worker) clash(spec *StepSpec) int {
 	n := 0
-	for _, r := range w.runs {
+	for _, r := range w.order {
 		other := r.needs()
 		if spec.Fills && other.Serves() || spec.Serves() && other.Fills {
 			n += 2
--- a/core/sched/turns.go
+++ b/core/sched/turns.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -160,8 +162,8 @@
 
 // saveTurns records what was learned since the last call.
 func (m *Machine) saveTurns() {
-	for name, t := range m.turns.pools {
-		if t.changed {
+	for _, name := range slices.Sorted(maps.Keys(m.turns.pools)) {
+		if t := m.turns.pools[name]; t.changed {
 			t.changed = false
 			m.emit(m.turns.saved(name, t))
 		}
--- a/core/sched/waves.go
+++ b/core/sched/waves.go
@@ -164,7 +164,7 @@
 	if w.mayTake() {
 		return
 	}
-	for _, r := range w.runs {
+	for _, r := range w.order {
 		s := r.task.step
 		if s.spec.Lasting && !r.stopping && r.phase == runConfirmed && (s.spec.MaxUnavailable == 0 || s.away() < s.spec.MaxUnavailable) {
 			m.stopRun(now, r)
--- a/core/sched/worker.go
+++ b/core/sched/worker.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"mangowing/core/setup"
@@ -22,6 +23,7 @@
 	seen     int64 // number of the last end taken over
 	stored   int64 // number of the last end on the journal
 	runs     map[runKey]*run
+	order    []*run // the same in the order in which they were noted
 	used     setup.Resources
 	full     time.Time // it had no room; not asked again before
 	rest     time.Time // it fails what it starts; not used before
@@ -79,6 +81,7 @@
 
 func (w *worker) add(r *run) {
 	w.runs[r.key()] = r
+	w.order = append(w.order, r)
 	w.used = w.used.Plus(r.needs().Needs())
 }
 
@@ -87,5 +90,6 @@
 		return
 	}
 	delete(w.runs, r.key())
+	w.order = slices.DeleteFunc(w.order, func(other *run) bool { return other == r })
 	w.used = w.used.Minus(r.needs().Needs())
 }
