--- a/gate/feed/peers.go
+++ b/gate/feed/peers.go
@@ -24,6 +24,9 @@
 	freshPeer    = 900 * time.Millisecond
 	peersLimit   = 2 * time.Second
 	peersPauseMs = 500
+	// Gates that start together learn of each other by some reads close together.
+	startReads  = 8
+	startPeriod = time.Second
 )
 
 // Network carries calls between gates.
@@ -63,8 +66,11 @@
 // Serve enters this gate and keeps the list until the context ends.
 func (p *Peers) Serve(ctx context.Context) error {
 	entered := false
-	for ctx.Err() == nil {
+	for n := 0; ctx.Err() == nil; n++ {
 		wait := peersPeriod
+		if n < startReads {
+			wait = startPeriod
+		}
 		if !entered {
 			entered = p.enter(ctx)
 		}
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -71,6 +71,9 @@
 // Ready tells the balancer whether to send callers.
 func (n *Node) Ready() bool { return !n.stopping.Load() && n.intake.Ready() }
 
+// Owns tells whether this gate schedules.
+func (n *Node) Owns() bool { return n.keeper.Mine() != 0 }
+
 // Stopping tells whether a planned stop has begun.
 func (n *Node) Stopping() bool { return n.stopping.Load() }
 
