Keep the seeds until gates are known, and end a takeover that was overtaken

Cause: TestOwnerThatTheLogTurnsAwayHandsOver failed in one of some runs: an empty list of gates replaced the seeds, so that the cut owner could ask nobody; and a takeover that the log refused went on for 20 s although another gate was owner.

--- a/gate/feed/peers.go
+++ b/gate/feed/peers.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,6 +46,7 @@
 	address string
 
 	mu    sync.Mutex
+	seeds []string          // addresses that are known from the settings
 	gates map[string]string // address by name
 }
 
@@ -58,7 +61,7 @@
 	defer p.mu.Unlock()
 	for _, a := range addresses {
 		if a != p.address {
-			p.gates["seed "+a] = a
+			p.seeds = append(p.seeds, a)
 		}
 	}
 }
@@ -114,9 +117,9 @@
 // addresses returns the owner's address and some others, drawn anew each time.
 func (p *Peers) addresses() []string {
 	p.mu.Lock()
-	all := make([]string, 0, len(p.gates))
-	for _, a := range p.gates {
-		all = append(all, a)
+	all := slices.Collect(maps.Values(p.gates))
+	if len(all) == 0 {
+		all = slices.Clone(p.seeds)
 	}
 	p.mu.Unlock()
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
--- a/gate/lead/term.go
+++ b/gate/lead/term.go
@@ -89,6 +89,7 @@
 func (t *term) takeOver(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, takeOverLimit)
 	defer cancel()
+	go t.cancelWhenLost(ctx, cancel)
 	started := time.Now()
 	if err := t.journal.fence(ctx); err != nil {
 		return err
@@ -105,6 +106,17 @@
 	return nil
 }
 
+// cancelWhenLost ends a takeover that another gate's has overtaken.
+func (t *term) cancelWhenLost(ctx context.Context, cancel context.CancelFunc) {
+	for ctx.Err() == nil {
+		if t.deps.Keeper.Mine() != t.epoch {
+			cancel()
+			return
+		}
+		pause(ctx, ownerLook)
+	}
+}
+
 // declare hands the machine what operators have declared.
 func (t *term) declare(now time.Time) {
 	if cfg := t.deps.Configs.Config(); cfg != nil {
