--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,9 @@
 BIN := build
 DEPLOYMENT ?= vlnka
 
-.PHONY: help build test race vet format lint generate check-generated demo bench prove policy capacity clean
+DEPLOY_BUILD = $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)
+
+.PHONY: help build deploy-build test race vet format lint generate check-generated demo bench prove policy capacity clean
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' Makefile | sed 's/:.*##/ -/'
@@ -13,6 +15,9 @@
 	@mkdir -p $(BIN)
 	go build -o $(BIN)/ ./gate ./mango ./stand
 
+deploy-build: ## build for the users' platform by the command in deploy/system.toml
+	$(DEPLOY_BUILD)
+
 test: ## run all tests; those on real processes anew each time, since they run programs that the test cache does not know
 	go test $$(go list $(PACKAGES) | grep -v stand/prove)
 	go test -count=1 ./stand/prove
