--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -283,6 +283,7 @@
 	cores    float64 // cores needed
 	need     int     // machines needed
 	least    int     // machines needed for what lasts
+	coming   int // machines on their way
 	idle     []*worker
 	held     float64 // cores of lasting tasks
 	urgent   float64 // core-seconds of work that can still be in time
@@ -302,6 +303,9 @@
 		if !found || h.entry.State == MachineDown && h.heading == "" {
 			continue
 		}
+		if h.heading != "" {
+			d.coming++
+		}
 		w := byMachine[id]
 		if w == nil || w.healthy() || now.Sub(w.listedAt) < joinMargin {
 			d.machines++
--- a/core/sched/moves.go
+++ b/core/sched/moves.go
@@ -18,6 +18,8 @@
 	lastingPatience = 300 * time.Millisecond
 	// Idle machines are sent to the standby pool after this time; another pool may need them before.
 	surplusPatience = time.Second
+	// A pool that had no job yet keeps its machines for this long after a gate became owner.
+	unknownPatience = 20 * time.Second
 	// A pool frees machines for others when it has this many times what it needs.
 	cedeMargin = 1.3
 	// Machines that a pool keeps idle for the start of its next turn.
@@ -49,7 +51,7 @@
 		d.urgent, d.held = urgent[name], held[name]
 		d.least = max(int(math.Ceil(held[name]/(d.perVM*fillShare)))+reserveMachines, spread[name])
 		d.need = max(int(math.Ceil(d.cores/(d.perVM*fillShare)))+reserveMachines, d.least)
-		if stuck[name] {
+		if stuck[name] && d.coming == 0 {
 			d.need = max(d.need, d.machines+1)
 		}
 	}
@@ -271,7 +273,7 @@
 
 // park sends idle machines that a pool did not need for a while to the standby pool.
 func (m *Machine) park(now time.Time, d *poolDemand, standby string) {
-	if d.name == standby || !m.surplusLong(now, d) {
+	if d.name == standby || !m.surplusLong(now, d) || !m.turns.trend(d.name).known && now.Sub(m.begun) < unknownPatience {
 		return
 	}
 	for _, w := range d.idle {
--- a/core/sched/turns.go
+++ b/core/sched/turns.go
@@ -48,6 +48,7 @@
 	turning bool
 	surplus time.Time // since when the pool has more machines than it needs
 	changed bool      // something that a later owner should know
+	known   bool      // a job has come
 }
 
 func (p *turnPlan) trend(pool string) *poolTrend {
@@ -92,6 +93,7 @@
 // arrived notes that a job came.
 func (p *turnPlan) arrived(now time.Time, pool string, coreSeconds float64) {
 	t := p.trend(pool)
+	t.known = true
 	t.advance(now)
 	t.buckets[t.bucket%rateBuckets] += coreSeconds
 	t.jobs[t.bucket%rateBuckets]++
@@ -144,7 +146,7 @@
 // fold takes over what an owner before knew of a pool's turns.
 func (p *turnPlan) fold(r TurnSeen) {
 	t := p.trend(r.Pool)
-	t.peak, t.home = r.Peak, r.Home
+	t.peak, t.home, t.known = r.Peak, r.Home, true
 	if r.BeganMs > 0 {
 		t.began = time.UnixMilli(r.BeganMs)
 	}
