--- a/core/sched/fold.go
+++ b/core/sched/fold.go
@@ -26,6 +26,8 @@
 		m.foldSaved(r)
 	case WaveSeen:
 		m.foldWaveSeen(r)
+	case ServiceOrdered:
+		m.inService[r.Machine] = r.Wave
 	case MachineServed:
 		m.foldServed(r)
 	case TurnSeen:
@@ -46,6 +48,7 @@
 	clear(m.open)
 	clear(m.waveSeen)
 	clear(m.served)
+	clear(m.inService)
 	clear(m.early)
 	clear(m.workers)
 	clear(m.teams)
--- a/core/sched/machine.go
+++ b/core/sched/machine.go
@@ -31,7 +31,8 @@
 	departed       map[string]int64 // workers whose machine was taken, with their incarnation
 	waveSeen       map[int64]int64  // when waves became known, in Unix milliseconds
 	served         map[servedKey]bool
-	planned        time.Time // when machines were last planned
+	inService      map[string]int64 // waves that machines were told to go down for and are not known to have served
+	planned        time.Time        // when machines were last planned
 	replanned      time.Time
 	demand         map[string]*poolDemand // as last measured
 	expecting      bool
@@ -92,7 +93,7 @@
 		cfg:     setup.New(0, nil, nil, nil, setup.Limits{}),
 		jobs:    map[string]*job{}, early: map[string]bool{}, workers: map[string]*worker{},
 		teams: map[string]*team{}, pools: map[string]*pool{}, machines: map[string]*machine{},
-		open: map[*job]bool{}, departed: map[string]int64{}, waveSeen: map[int64]int64{}, served: map[servedKey]bool{},
+		open: map[*job]bool{}, departed: map[string]int64{}, waveSeen: map[int64]int64{}, served: map[servedKey]bool{}, inService: map[string]int64{},
 		waves: map[int64]*wave{}, touched: map[*job]bool{}, saw: map[*worker]bool{},
 	}
 }
--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -51,6 +51,10 @@
 		if !found {
 			h = &machine{}
 			m.machines[e.ID] = h
+			if wave := m.inService[e.ID]; wave != 0 {
+				// The owner before told it to go down, and the answer is not known.
+				h.entry, h.serving, h.ordered = e, wave, now
+			}
 		}
 		if !h.answered.IsZero() && asked.After(h.answered) {
 			m.confirmTaken(now, h, e)
@@ -240,7 +244,7 @@
 	if w != nil {
 		w.leave()
 	}
-	m.orderNow(o)
+	m.orderAfter(o)
 }
 
 func (m *Machine) applyMove(now time.Time, rep MoveReport) {
@@ -270,6 +274,7 @@
 	default:
 		m.decide(now, "machine-order-refused", "", id, answer.String()+": "+why)
 		h.refused = now.Add(refusedPause)
+		delete(m.inService, id)
 		h.reset()
 		m.released(id)
 	}
@@ -283,7 +288,7 @@
 	cores    float64 // cores needed
 	need     int     // machines needed
 	least    int     // machines needed for what lasts
-	coming   int // machines on their way
+	coming   int     // machines on their way
 	idle     []*worker
 	held     float64 // cores of lasting tasks
 	urgent   float64 // core-seconds of work that can still be in time
--- a/core/sched/record.go
+++ b/core/sched/record.go
@@ -8,8 +8,8 @@
 // codecVersion is the first byte of every encoded record.
 const codecVersion = 1
 
-// Record is a fact that lasts: JobAccepted, JobCancelled, TaskStarted, TaskEnded, InboxRead, WaveSeen, MachineServed,
-// TurnSeen, SnapshotBegun, JobSaved or SnapshotEnded.
+// Record is a fact that lasts: JobAccepted, JobCancelled, TaskStarted, TaskEnded, InboxRead, WaveSeen, ServiceOrdered,
+// MachineServed, TurnSeen, SnapshotBegun, JobSaved or SnapshotEnded.
 type Record interface {
 	record()
 }
@@ -57,6 +57,13 @@
 	AtMs int64 // Unix milliseconds
 }
 
+// ServiceOrdered says that a machine is about to be told to go down for a wave.
+type ServiceOrdered struct {
+	_       struct{} `cbor:",toarray"`
+	Wave    int64
+	Machine string
+}
+
 // MachineServed says that a machine had its maintenance for a wave.
 type MachineServed struct {
 	_       struct{} `cbor:",toarray"`
@@ -115,17 +122,18 @@
 	Jobs int
 }
 
-func (JobAccepted) record()   {}
-func (JobCancelled) record()  {}
-func (TaskStarted) record()   {}
-func (TaskEnded) record()     {}
-func (InboxRead) record()     {}
-func (WaveSeen) record()      {}
-func (MachineServed) record() {}
-func (TurnSeen) record()      {}
-func (SnapshotBegun) record() {}
-func (JobSaved) record()      {}
-func (SnapshotEnded) record() {}
+func (JobAccepted) record()    {}
+func (JobCancelled) record()   {}
+func (TaskStarted) record()    {}
+func (TaskEnded) record()      {}
+func (InboxRead) record()      {}
+func (WaveSeen) record()       {}
+func (MachineServed) record()  {}
+func (TurnSeen) record()       {}
+func (ServiceOrdered) record() {}
+func (SnapshotBegun) record()  {}
+func (JobSaved) record()       {}
+func (SnapshotEnded) record()  {}
 
 // tag tells the kinds of records apart in their encoded form.
 type tag uint8
@@ -142,6 +150,7 @@
 	tagWaveSeen
 	tagMachineServed
 	tagTurnSeen
+	tagServiceOrdered
 )
 
 // Encode returns the record's compact binary form.
@@ -177,6 +186,8 @@
 		return tagMachineServed
 	case TurnSeen:
 		return tagTurnSeen
+	case ServiceOrdered:
+		return tagServiceOrdered
 	default:
 		return 0
 	}
@@ -210,6 +221,8 @@
 		return decodeAs[MachineServed](b[2:])
 	case tagTurnSeen:
 		return decodeAs[TurnSeen](b[2:])
+	case tagServiceOrdered:
+		return decodeAs[ServiceOrdered](b[2:])
 	default:
 		return nil, eris.Errorf("record has the unknown tag %d", b[1])
 	}
--- a/core/sched/snapshot.go
+++ b/core/sched/snapshot.go
@@ -15,6 +15,9 @@
 	for key := range m.served {
 		records = append(records, MachineServed{Wave: key.wave, Machine: key.machine})
 	}
+	for id, number := range m.inService {
+		records = append(records, ServiceOrdered{Wave: number, Machine: id})
+	}
 	for name, t := range m.turns.pools {
 		records = append(records, m.turns.saved(name, t))
 	}
--- a/core/sched/waves.go
+++ b/core/sched/waves.go
@@ -50,7 +50,10 @@
 	m.foldServed(record)
 }
 
-func (m *Machine) foldServed(r MachineServed) { m.served[servedKey{r.Wave, r.Machine}] = true }
+func (m *Machine) foldServed(r MachineServed) {
+	m.served[servedKey{r.Wave, r.Machine}] = true
+	delete(m.inService, r.Machine)
+}
 
 type servedKey struct {
 	wave    int64
@@ -99,7 +102,7 @@
 			// The machine was removed for good.
 		case h.serving == wv.spec.Number && (h.busy(now, m.options) || h.entry.State == MachineInService):
 			down++
-		case h.entry.State == MachineInService && served:
+		case h.entry.State == MachineInService:
 			down++
 		case !served:
 			left = append(left, h)
@@ -142,6 +145,9 @@
 		if room > 0 && m.drained(w, hurry) {
 			room--
 			h.serving = wv.spec.Number
+			record := ServiceOrdered{Wave: wv.spec.Number, Machine: h.entry.ID}
+			m.emit(record)
+			m.inService[record.Machine] = record.Wave
 			m.orderMachine(now, h, w, ServiceMachine{Machine: h.entry.ID, Wave: wv.spec.Number})
 			continue
 		}
--- a/core/sched/waves_test.go
+++ b/core/sched/waves_test.go
@@ -128,3 +128,31 @@
 	b.wait(3 * time.Second)
 	assert.DeepEqual(t, take[ReportWave](b), []ReportWave{{Wave: 1, Completed: true}})
 }
+
+// The owner before may have taken machines down and lost the answers.
+func TestNewOwnerCountsTheMachinesThatTheOneBeforeTookDown(t *testing.T) {
+	before := newBench(t, 6)
+	before.listMachines()
+	var names []string
+	for i := range 6 {
+		names = append(names, fmt.Sprintf("m-w%d", i+1))
+	}
+	before.declareWave(2, names...)
+	before.wait(time.Second)
+	ordered := take[ServiceMachine](before)
+	assert.Equal(t, len(ordered), 2)
+	b := &bench{t: t, m: New(Options{}), now: before.now, entries: before.entries, ends: map[string]int64{}}
+	for _, r := range before.records {
+		assert.NilError(t, b.m.Replay(r))
+	}
+	b.m.Begin(b.now, 0)
+	b.m.Configure(b.now, queueOf4())
+	b.list()
+	b.answerLooks()
+	b.declareWave(2, names...)
+	b.listMachines(ordered[0].Machine)
+	b.wait(2*time.Second, ordered[0].Machine)
+	for _, o := range take[ServiceMachine](b) {
+		assert.Assert(t, o.Machine == ordered[0].Machine || o.Machine == ordered[1].Machine, "no third one")
+	}
+}
