--- a/core/sched/intake.go
+++ b/core/sched/intake.go
@@ -14,6 +14,9 @@
 	Overload         // the job was not taken, its pool has more work than it can do in time
 )
 
+// String returns the verdict's name.
+func (v Verdict) String() string { return [...]string{"accepted", "repeated", "overload"}[v] }
+
 // Submit takes a job, or says why not. A refused job may come back after the time returned.
 func (m *Machine) Submit(now time.Time, spec JobSpec) (Verdict, time.Duration) {
 	if _, known := m.jobs[spec.ID]; known {
--- a/gate/intake/service.go
+++ b/gate/intake/service.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
 	"mangowing/core/codes"
@@ -118,11 +120,18 @@
 	ctx, cancel := context.WithDeadline(ctx, until(c))
 	defer cancel()
 	reply := s.submit(ctx, spec)
-	klog.V(1).InfoS("job-answered", "job", rest, "queue", q.Name, "team", team, "code", reply.code.String(),
+	count("submit", reply.code, c.Received)
+	klog.InfoS("job-answered", "job", rest, "queue", q.Name, "team", team, "code", reply.code.String(),
 		"took-ms", time.Since(c.Received).Milliseconds(), "config", s.version())
 	return reply
 }
 
+// count notes a call's outcome and how long it took.
+func count(what string, code codes.Code, received time.Time) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("mangowing_calls_total{what=%q,code=%q}", what, code.Entry().Name())).Inc()
+	metrics.GetOrCreateHistogram(fmt.Sprintf("mangowing_call_seconds{what=%q}", what)).Update(time.Since(received).Seconds())
+}
+
 func (s *Service) version() int64 {
 	if cfg := s.configs.Config(); cfg != nil {
 		return cfg.Version()
@@ -131,7 +140,8 @@
 }
 
 func (s *Service) refused(what, id string, code codes.Code) Reply {
-	klog.V(1).InfoS("call-refused", "what", what, "job", id, "code", code.String(), "config", s.version(),
+	count(what, code, time.Now())
+	klog.InfoS("call-refused", "what", what, "job", id, "code", code.String(), "config", s.version(),
 		"config-age-ms", s.configs.Age().Milliseconds())
 	if code == codes.ConfigStale {
 		return refuse(code, retrySoon)
@@ -216,6 +226,7 @@
 	for time.Since(started) < inboxAfter && ctx.Err() == nil {
 		a := s.ask(ctx, request{Kind: askCancel, ID: id}, func(ctx context.Context) lead.Answer { return s.lead.Cancel(ctx, id) })
 		if a.Code() != codes.NotOwner && a.Code() != codes.JobUnsettled {
+			count("cancel", a.Code(), c.Received)
 			return Reply{code: a.Code()}
 		}
 		pause(ctx, retryPause)
@@ -244,10 +255,12 @@
 			a = s.ask(ctx, request{Kind: askState, ID: id}, func(ctx context.Context) lead.Answer { return s.lead.State(ctx, id) })
 		}
 		if a.Code() != codes.NotOwner && a.Code() != codes.JobUnsettled {
+			count("state", a.Code(), c.Received)
 			return Reply{code: a.Code(), state: a.State(), pending: a.Count()}, id == ""
 		}
 		pause(ctx, retryPause)
 	}
+	count("state", codes.NotOwner, c.Received)
 	return refuse(codes.NotOwner, retrySoon), id == ""
 }
 
--- a/gate/lead/meters.go
+++ b/gate/lead/meters.go
@@ -1,4 +1,67 @@
 package lead
 
-// Meters counts what an owner does.
-type Meters struct{}
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"mangowing/core/sched"
+)
+
+// Names of the owner's metrics; docs/OPERATIONS.md lists them with unit and meaning.
+const (
+	metricTakeovers   = "mangowing_takeovers_total"
+	metricTakeover    = "mangowing_takeover_seconds"
+	metricAppend      = "mangowing_journal_append_seconds"
+	metricRecords     = "mangowing_journal_records_total"
+	metricJobs        = "mangowing_owner_jobs_total"
+	metricAttempts    = "mangowing_attempts_total"
+	metricPoolGauge   = "mangowing_pool"
+	metricHeldOrders  = "mangowing_held_orders"
+	metricWorkerCalls = "mangowing_worker_calls_total"
+)
+
+// countTakeover notes how long the phases of a takeover took.
+func countTakeover(fence, replay time.Duration) {
+	metrics.GetOrCreateCounter(metricTakeovers).Inc()
+	metrics.GetOrCreateHistogram(metricTakeover + `{phase="fence"}`).Update(fence.Seconds())
+	metrics.GetOrCreateHistogram(metricTakeover + `{phase="replay"}`).Update(replay.Seconds())
+}
+
+func countAppend(records int, took time.Duration) {
+	metrics.GetOrCreateCounter(metricRecords).Add(records)
+	metrics.GetOrCreateHistogram(metricAppend).Update(took.Seconds())
+}
+
+func countJob(outcome string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("%s{outcome=%q}", metricJobs, outcome)).Inc()
+}
+
+func countWorkerCall(call string, answer sched.Answer) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("%s{call=%q,answer=%q}", metricWorkerCalls, call, answer)).Inc()
+}
+
+// publish shows what the scheduler has counted and what it believes of its pools.
+func publish(m *sched.Machine, loads []sched.Load, held int) {
+	counters := m.Counters()
+	setGauge(metricAttempts, `{what="started"}`, float64(counters.Started()))
+	setGauge(metricAttempts, `{what="refused"}`, float64(counters.RefusedStarts()))
+	for ending := sched.Done; ending <= sched.Lost; ending++ {
+		setGauge(metricAttempts, fmt.Sprintf("{what=%q}", ending), float64(counters.Ended(ending)))
+	}
+	for _, l := range loads {
+		for what, value := range map[string]float64{
+			"machines": float64(l.Machines()), "needed": float64(l.Needed()), "usable": float64(l.Usable()),
+			"waiting-tasks": float64(l.Waiting()), "running-attempts": float64(l.Running()), "idle-cores": l.IdleCores(),
+			"arriving-cores": l.Rate(),
+		} {
+			setGauge(metricPoolGauge, fmt.Sprintf("{pool=%q,what=%q}", l.Pool(), what), value)
+		}
+	}
+	setGauge(metricHeldOrders, "", float64(held))
+}
+
+func setGauge(name, labels string, value float64) {
+	metrics.GetOrCreateGauge(name+labels, nil).Set(value)
+}
--- a/gate/lead/orders.go
+++ b/gate/lead/orders.go
@@ -98,6 +98,17 @@
 }
 
 func (t *term) report(ctx context.Context, r sched.Report) {
+	switch r := r.(type) {
+	case sched.StartReport:
+		countWorkerCall("start", r.Answer)
+	case sched.StopReport:
+		countWorkerCall("stop", r.Answer)
+	case sched.PaceReport:
+		countWorkerCall("pace", r.Answer)
+	case sched.HoldReport:
+		countWorkerCall("hold", r.Answer)
+	case sched.AdviceReport, sched.MoveReport, sched.ServiceReport:
+	}
 	select {
 	case t.reports <- r:
 	case <-ctx.Done():
--- a/gate/lead/service.go
+++ b/gate/lead/service.go
@@ -29,22 +29,17 @@
 	Keeper    *owner.Keeper
 	Configs   *feed.Configs
 	Options   sched.Options
-	Meters    *Meters
 }
 
 // Service runs the scheduler while its gate is the owner.
 type Service struct {
 	deps  Deps
 	calls chan call
-	busy  chan struct{} // holds a token while no ownership runs
 }
 
 // New returns a service; it does nothing before Serve.
 func New(deps Deps) *Service {
-	if deps.Meters == nil {
-		deps.Meters = &Meters{}
-	}
-	return &Service{deps: deps, calls: make(chan call, callsQueue), busy: make(chan struct{}, 1)}
+	return &Service{deps: deps, calls: make(chan call, callsQueue)}
 }
 
 // Serve runs one ownership after the other until the context ends.
@@ -121,13 +116,13 @@
 	return s.ask(ctx, func(reply chan<- Answer) call { return pendingCall{queue, reply} })
 }
 
-func (s *Service) ask(ctx context.Context, make1 func(chan<- Answer) call) Answer {
+func (s *Service) ask(ctx context.Context, callWith func(chan<- Answer) call) Answer {
 	if s.deps.Keeper.Mine() == 0 {
 		return Refuse(codes.NotOwner, 0)
 	}
 	reply := make(chan Answer, 1)
 	select {
-	case s.calls <- make1(reply):
+	case s.calls <- callWith(reply):
 	case <-ctx.Done():
 		return Refuse(codes.NotOwner, 0)
 	}
--- a/gate/lead/term.go
+++ b/gate/lead/term.go
@@ -98,6 +98,7 @@
 	if err := t.journal.replay(ctx, t.machine); err != nil {
 		return err
 	}
+	countTakeover(fenced.Sub(started), time.Since(fenced))
 	klog.InfoS("takeover", "epoch", t.epoch, "fence-ms", fenced.Sub(started).Milliseconds(),
 		"replay-ms", time.Since(fenced).Milliseconds())
 	now := time.Now()
@@ -246,7 +247,9 @@
 	}
 	t.storing, t.storingSince = true, time.Now()
 	go func() {
+		began := time.Now()
 		first, err := t.journal.append(ctx, g.records)
+		countAppend(len(g.records), time.Since(began))
 		t.stored <- storedGroup{g, first, err}
 	}()
 }
@@ -318,10 +321,12 @@
 func (t *term) submit(now time.Time, c submitCall) {
 	if t.storing && now.Sub(t.storingSince) > storeAwayAfter {
 		klog.InfoS("job-refused", "job", c.spec.ID, "queue", c.spec.Queue, "team", c.spec.Team, "why", "the journal can't be written")
+		countJob("store-away")
 		c.reply <- Refuse(codes.JobStoreAway, storeAwayRetry)
 		return
 	}
 	verdict, after := t.machine.Submit(now, c.spec)
+	countJob(verdict.String())
 	if verdict == sched.Overload {
 		klog.InfoS("job-refused", "job", c.spec.ID, "queue", c.spec.Queue, "team", c.spec.Team, "retry-after-ms", after.Milliseconds())
 		c.reply <- Refuse(codes.JobPoolFull, after)
@@ -363,7 +368,9 @@
 		return
 	}
 	t.loadsLogged = now
-	for _, l := range t.machine.Loads(now) {
+	loads := t.machine.Loads(now)
+	publish(t.machine, loads, len(t.held))
+	for _, l := range loads {
 		if l.Running() > 0 || l.Waiting() > 0 {
 			klog.InfoS("pool-load", "pool", l.Pool(), "machines", l.Machines(), "needed", l.Needed(), "usable", l.Usable(),
 				"waiting", l.Waiting(), "running", l.Running(), "idle-cores", int(l.IdleCores()), "arriving-cores", int(l.Rate()))
