--- /dev/null
+++ b/core/logs/bounded_test.go
@@ -0,0 +1,42 @@
+package logs
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// stuckWriter takes nothing until it is released.
+type stuckWriter struct {
+	mu      sync.Mutex
+	written bytes.Buffer
+}
+
+func (w *stuckWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.written.Write(p)
+}
+
+func TestBoundedNeverBlocksAndTellsWhatItDropped(t *testing.T) {
+	w := &stuckWriter{}
+	w.mu.Lock()
+	b := NewBounded(w, 2)
+	began := time.Now()
+	for range 20 {
+		n, err := b.Write([]byte("line\n"))
+		assert.NilError(t, err)
+		assert.Equal(t, n, 5)
+	}
+	assert.Assert(t, time.Since(began) < time.Second)
+	assert.Assert(t, b.Dropped() >= 17)
+	w.mu.Unlock()
+	b.Flush(time.Second)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	assert.Assert(t, strings.Contains(w.written.String(), `"msg":"log-lines-dropped"`))
+}
