--- /dev/null
+++ b/core/sched/load_patterns_test.go
@@ -0,0 +1,190 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Pattern: turns. Each pool asks five times its mean for some seconds, the pools one after the other.
+func TestTurnsAreForecastOnceAPoolHadTwo(t *testing.T) {
+	var p turnPlan
+	const turn, cycle = 4 * time.Second, 16 * time.Second
+	now := start
+	expected := func(pool string) float64 { return p.expect(now, pool, 100) }
+	pass := func(until time.Duration) {
+		for ; now.Before(start.Add(until)); now = now.Add(100 * time.Millisecond) {
+			at := now.Sub(start) % cycle
+			for i, pool := range []string{"pots", "desks"} {
+				if begin := time.Duration(i) * turn; at >= begin && at < begin+turn {
+					p.arrived(now, pool, 20)
+				}
+				expected(pool)
+			}
+		}
+	}
+	pass(time.Second)
+	assert.Assert(t, expected("pots") >= 125, "a turn of unknown height asks for more than the pool has: %v", expected("pots"))
+	pass(8 * time.Second)
+	assert.Assert(t, expected("pots") < 10, "the turn is over: %v", expected("pots"))
+	pass(cycle + time.Second)
+	assert.Assert(t, expected("desks") < 10)
+	pass(cycle + turn - time.Second)
+	assert.Assert(t, expected("desks") > 150, "machines are asked for before the turn begins: %v", expected("desks"))
+	pass(cycle + 2*turn + 4*time.Second)
+	assert.Assert(t, expected("desks") < 10)
+}
+
+// Pattern: single large jobs between the turns.
+func TestOneLargeJobIsNoTurn(t *testing.T) {
+	var p turnPlan
+	p.expect(start, "pots", 100)
+	p.arrived(start.Add(time.Second), "pots", 90)
+	assert.Assert(t, p.expect(start.Add(time.Second), "pots", 100) < 120)
+	assert.Assert(t, !p.trend("pots").turning)
+}
+
+// Pattern: turns and a takeover.
+func TestTurnsOutliveTheirOwner(t *testing.T) {
+	var p, next turnPlan
+	p.trend("pots").peak, p.trend("pots").home, p.trend("pots").began = 300, 100, start
+	p.cycle = 16 * time.Second
+	next.fold(p.saved("pots", p.trend("pots")))
+	assert.Assert(t, next.expect(start.Add(15*time.Second), "pots", 40) >= 300)
+}
+
+// Pattern: a hot team that sends many times its usual.
+func TestHotTeamIsHeldToItsShareOfJobs(t *testing.T) {
+	var s shareMeter
+	taken := 0
+	for i := range 1000 {
+		if s.take(start.Add(time.Duration(i)*10*time.Millisecond), 5) {
+			taken++
+		}
+	}
+	assert.Assert(t, taken >= 65 && taken <= 75, "5 a second over 10 s and the burst: %d", taken)
+}
+
+// Pattern: a hot team beside others in a full pool.
+func TestWorkBeyondAShareWaitsForTheOthers(t *testing.T) {
+	b := newBench(t, 1)
+	for i := range 50 {
+		_, _ = b.m.Submit(b.now, JobSpec{
+			ID: fmt.Sprintf("hot%d", i), Queue: "plans", Pool: "pots", Team: "floor", Steps: []StepSpec{oneCore(1)}, Slack: 1.6, TargetMs: 60_000,
+			FirstSentMs: b.now.UnixMilli(),
+		})
+	}
+	_, _ = b.m.Submit(b.now, JobSpec{
+		ID: "calm", Queue: "plans", Pool: "pots", Team: "retail", Steps: []StepSpec{oneCore(1)}, Slack: 1.6, TargetMs: 60_000,
+		FirstSentMs: b.now.UnixMilli(),
+	})
+	b.settle()
+	started := map[string]bool{}
+	for _, o := range take[StartTask](b) {
+		started[o.Task.Job] = true
+	}
+	assert.Equal(t, len(started), 4)
+	assert.Assert(t, started["calm"])
+}
+
+// Pattern: more work than the pool can do in any useful time.
+func TestJobThatCantBeDoneIsRefusedAtOnceWithATimeToComeBack(t *testing.T) {
+	m := New(Options{})
+	spec := JobSpec{ID: "a", Queue: "plans", Pool: "pots", Steps: []StepSpec{oneCore(1)}, Slack: 1.6, TargetMs: 600}
+	scenarios := []struct {
+		testName string
+		urgent   float64 // core-seconds ahead
+		excess   bool
+		refused  bool
+	}{
+		{"idle pool", 0, false, false},
+		{"late but useful", 400, false, false},
+		{"useless", 600, false, true},
+		{"beyond the share, idle pool", 50, true, false},
+		{"beyond the share, busy pool", 90, true, true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			m.demand = map[string]*poolDemand{"pots": {urgent: s.urgent, reach: 100}}
+			spec.Excess = s.excess
+			after, refused := m.overloaded(&spec)
+			assert.Equal(t, refused, s.refused)
+			if refused {
+				assert.Assert(t, after.Seconds() >= s.urgent/100)
+			}
+		})
+	}
+}
+
+// Pattern: two pools in their turns and not enough machines.
+func TestMachinesAreRationedWhenAllLack(t *testing.T) {
+	demand := map[string]*poolDemand{
+		"pots":  {machines: 38, need: 60, least: 3},
+		"desks": {machines: 2, need: 20, least: 3},
+	}
+	assert.Assert(t, ration(demand))
+	assert.Equal(t, demand["pots"].need, 30)
+	assert.Equal(t, demand["desks"].need, 10)
+}
+
+// Pattern: one pool's turn ends as the other's begins.
+func TestIdleMachinesMoveToThePoolThatLacksThem(t *testing.T) {
+	b := newBench(t, 6)
+	b.addWorker("d1", "desks")
+	b.list()
+	b.answerLooks()
+	b.listMachines()
+	for i := range 12 {
+		_, _ = b.m.Submit(b.now, JobSpec{
+			ID: fmt.Sprint(i), Queue: "quotes", Pool: "desks", Steps: []StepSpec{oneCore(2)}, Slack: 1.6, TargetMs: 600,
+			FirstSentMs: b.now.UnixMilli(),
+		})
+	}
+	b.m.options.MovePool = true
+	b.wait(600 * time.Millisecond)
+	moves := take[MoveMachine](b)
+	assert.Assert(t, len(moves) >= 3, "%v", moves)
+	for _, o := range moves {
+		assert.Equal(t, o.Pool, "desks")
+	}
+}
+
+// Pattern: a filling task beside a serving one that nears its target.
+func TestPaces(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		paced    int
+		serving  bool
+		worst    float64
+		expected int
+	}{
+		{"alone", 0, false, 0, 100},
+		{"far from the target", 40, true, 0.3, 55},
+		{"between", 40, true, 0.8, 40},
+		{"near the target", 100, true, 0.95, 40},
+		{"near the target, slow already", 20, true, 0.95, 0},
+		{"over the target", 100, true, 1.2, 0},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			assert.Equal(t, nextPace(s.paced, s.serving, s.worst), s.expected)
+		})
+	}
+}
+
+// Pattern: a worker that fails all that it starts.
+func TestWorkerThatFailsEverythingRests(t *testing.T) {
+	b := newBench(t, 2)
+	b.submit("a", oneCore(8))
+	for _, o := range b.answerStarts(OK) {
+		if o.Worker == "w1" {
+			b.end(o, Faulted)
+		}
+	}
+	for _, o := range b.answerStarts(OK) {
+		assert.Equal(t, o.Worker, "w2")
+	}
+	assert.Equal(t, b.state("a"), "in-progress")
+}
