--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -112,7 +112,7 @@
 			h.entry.Pool = h.heading
 		}
 		if h.serving != 0 {
-			m.orderMachine(now, h, byMachine[h.entry.ID], ServiceMachine{Machine: h.entry.ID, Wave: h.serving})
+			m.repeatService(now, h, byMachine[h.entry.ID])
 			continue
 		}
 		if !h.ordered.IsZero() {
@@ -138,6 +138,16 @@
 	}
 }
 
+// repeatService gives an order for maintenance that had no answer again, once the machine can be taken.
+func (m *Machine) repeatService(now time.Time, h *machine, w *worker) {
+	if w != nil && !m.drained(w, false) {
+		w.cordoned = true
+		m.evacuate(now, w)
+		return
+	}
+	m.orderMachine(now, h, w, ServiceMachine{Machine: h.entry.ID, Wave: h.serving})
+}
+
 // Expecting tells whether machines are on their way, so that new workers are to be listed soon.
 func (m *Machine) Expecting() bool { return m.expecting }
 
--- a/core/sched/waves_test.go
+++ b/core/sched/waves_test.go
@@ -156,3 +156,38 @@
 		assert.Assert(t, o.Machine == ordered[0].Machine || o.Machine == ordered[1].Machine, "no third one")
 	}
 }
+
+// An order in doubt is repeated only when the machine can be taken, as at first.
+func TestOrderInDoubtIsNotRepeatedOverLastingTasks(t *testing.T) {
+	b := newBench(t, 4)
+	b.submit("a", lastingStep(6, 0))
+	b.answerStarts(OK)
+	for range 10 {
+		b.pass(100 * time.Millisecond)
+		b.answerLooks()
+	}
+	busy := b.m.jobs["a"].rounds[0].steps[0].tasks[0].runs[0].worker
+	assert.Assert(t, len(busy.runs) > 1)
+	assert.NilError(t, b.m.Replay(ServiceOrdered{Wave: 1, Machine: busy.entry.Machine}))
+	b.declareWave(1, busy.entry.Machine)
+	b.listMachines()
+	b.wait(4100 * time.Millisecond)
+	for range 20 {
+		if len(take[ServiceMachine](b)) > 0 {
+			assert.Assert(t, len(busy.runs) <= 1, "one may be away")
+			return
+		}
+		stops := map[TaskID]StopTask{}
+		for _, o := range take[StopTask](b) {
+			stops[o.Task] = o
+		}
+		assert.Assert(t, len(stops) <= 1, "one may be away")
+		for _, o := range stops {
+			b.m.Apply(b.now, StopReport{Order: o})
+			b.end(StartTask{Worker: o.Worker, Task: o.Task, Attempt: o.Attempt}, Stopped)
+		}
+		b.answerStarts(OK)
+		b.wait(200 * time.Millisecond)
+	}
+	t.Fatal("the order was never repeated")
+}
