--- a/core/sched/list.go
+++ b/core/sched/list.go
@@ -51,6 +51,20 @@
 		w.drainEnd = now.Add(e.Remaining)
 	}
 	w.entry = e
+	m.endEarlierLives(now, w)
+}
+
+// endEarlierLives notes that a machine's earlier workers are gone: a machine runs one at a time.
+func (m *Machine) endEarlierLives(now time.Time, w *worker) {
+	if w.entry.Machine == "" || w.born == 0 {
+		return
+	}
+	for _, other := range slices.Clone(m.byID) {
+		if other != w && other.listed && other.entry.Machine == w.entry.Machine && other.born != 0 && other.born < w.born {
+			m.departed[other.id] = other.born
+			m.gone(now, other, "its machine runs another worker")
+		}
+	}
 }
 
 // unlist notes that a worker has left the list. What runs there may go on, if the worker only lost touch with the
--- a/core/sched/load_patterns_test.go
+++ b/core/sched/load_patterns_test.go
@@ -188,3 +188,20 @@
 	}
 	assert.Equal(t, b.state("a"), "in-progress")
 }
+
+// Pattern: a takeover in the middle of a turn.
+func TestTurnGoesOnUnderANewOwner(t *testing.T) {
+	var p turnPlan
+	p.fold(TurnSeen{Pool: "pots", BeganMs: start.UnixMilli(), Peak: 300, Home: 100, CycleMs: 16_000})
+	now := start.Add(2 * time.Second)
+	for range 10 {
+		p.arrived(now, "pots", 25)
+		now = now.Add(100 * time.Millisecond)
+		p.expect(now, "pots", 100)
+	}
+	assert.Equal(t, p.cycle, 16*time.Second, "it is no second turn")
+	assert.Assert(t, p.expect(now, "pots", 100) >= 300)
+	now = now.Add(4 * time.Second)
+	p.expect(now, "pots", 100)
+	assert.Equal(t, p.trend("pots").peak, 300.0, "what was not seen whole teaches nothing")
+}
--- a/core/sched/machine_test.go
+++ b/core/sched/machine_test.go
@@ -304,3 +304,16 @@
 	b.end(first, Stopped)
 	assert.Equal(t, len(take[StartTask](b)), 1)
 }
+
+// The list of workers may still name a life of before, which answers no more.
+func TestEarlierLifeOfAMachineIsGone(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit("a", oneCore(1))
+	b.answerStarts(OK)
+	later := b.entries["w1"]
+	later.ID, later.Born = "w9", 7
+	b.entries["w9"] = later
+	b.list()
+	b.answerLooks()
+	assert.Equal(t, take[StartTask](b)[0].Worker, "w9")
+}
--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -56,6 +56,7 @@
 				h.entry, h.serving, h.ordered = e, wave, now
 			}
 		}
+		m.endSilentLives(now, asked, e)
 		if !h.answered.IsZero() && asked.After(h.answered) {
 			m.confirmTaken(now, h, e)
 		}
@@ -75,6 +76,16 @@
 	m.machinesListed = now
 }
 
+// endSilentLives notes that a silent worker is gone, since its machine runs another one or none.
+func (m *Machine) endSilentLives(now, asked time.Time, e MachineEntry) {
+	for _, w := range slices.Clone(m.byID) {
+		if w.entry.Machine == e.ID && w.listed && w.silent > 0 && w.id != e.Worker && asked.After(w.listedAt) {
+			m.departed[w.id] = w.born
+			m.gone(now, w, "its machine does not run it")
+		}
+	}
+}
+
 // reset forgets the order to a machine.
 func (h *machine) reset() {
 	h.heading, h.serving, h.ordered, h.answered = "", 0, time.Time{}, time.Time{}
--- a/core/sched/turns.go
+++ b/core/sched/turns.go
@@ -26,6 +26,8 @@
 	missedTurn = time.Second
 	// Turns are no shorter than this; a break in a turn does not end it.
 	shortestTurn = 2 * time.Second
+	// Work that comes this soon after a turn's beginning belongs to it, though its owner changed meanwhile.
+	sameTurn = 6 * time.Second
 	// Weight of a new turn's peak against those before.
 	peakWeight = 0.6
 )
@@ -46,6 +48,7 @@
 	work    float64   // core-seconds that came in the present turn
 	began   time.Time // start of the present or last turn
 	turning bool
+	partial bool      // the present turn was not seen from its beginning
 	surplus time.Time // since when the pool has more machines than it needs
 	changed bool      // something that a later owner should know
 	known   bool      // a job has come
@@ -128,19 +131,29 @@
 	rate := t.rate(now)
 	lasted := now.Sub(t.began)
 	switch {
+	case !t.turning && !t.began.IsZero() && lasted < sameTurn && t.begins(now):
+		t.turning, t.partial = true, true
 	case !t.turning && t.begins(now):
 		if !t.began.IsZero() {
 			p.cycle = lasted
 		}
-		t.turning, t.began, t.work, t.changed = true, now, 0, true
+		t.turning, t.partial, t.began, t.work, t.changed = true, false, now, 0, true
 	case t.turning && lasted >= shortestTurn && rate < overShare*max(t.mean(now), t.height()):
 		t.turning = false
-		if t.peak == 0 {
-			t.peak = t.mean(now)
-		}
-		t.peak += peakWeight * (t.mean(now) - t.peak)
-		t.changed = true
+		t.learnPeak(now)
+	}
+}
+
+// learnPeak takes over the height of a turn that was seen whole.
+func (t *poolTrend) learnPeak(now time.Time) {
+	if t.partial {
+		return
+	}
+	if t.peak == 0 {
+		t.peak = t.mean(now)
 	}
+	t.peak += peakWeight * (t.mean(now) - t.peak)
+	t.changed = true
 }
 
 // fold takes over what an owner before knew of a pool's turns.
