Withdraw an order for maintenance when another lasting task went away before it was given

Between a decision and its stored record, up to a second with a slow log, tasks may go. Test: TestOrderIsWithdrawnWhenAnotherTaskWentAwayMeanwhile.

--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -234,6 +234,21 @@
 	return true
 }
 
+// StillTakes tells whether an order that waited for its record may still be given: no more lasting tasks of a step are
+// away than may be, those on the machine among them.
+func (m *Machine) StillTakes(o ServiceMachine) bool {
+	w := m.workersByMachine()[o.Machine]
+	if w == nil {
+		return true
+	}
+	for _, r := range w.order {
+		if s := r.task.step; s.spec.MaxUnavailable > 0 && s.away() > s.spec.MaxUnavailable {
+			return false
+		}
+	}
+	return true
+}
+
 // leave marks the lasting tasks on the worker as away, and cordons it.
 func (w *worker) leave() {
 	w.cordoned = true
--- a/core/sched/waves_test.go
+++ b/core/sched/waves_test.go
@@ -191,3 +191,20 @@
 	}
 	t.Fatal("the order was never repeated")
 }
+
+// Between an order's decision and its record another task of the step may have gone.
+func TestOrderIsWithdrawnWhenAnotherTaskWentAwayMeanwhile(t *testing.T) {
+	b := newBench(t, 5)
+	b.submit("a", lastingStep(2, 1))
+	starts := b.answerStarts(OK)
+	b.listMachines()
+	b.wait(time.Second)
+	b.declareWave(1, "m-"+starts[0].Worker)
+	b.wait(time.Second)
+	order := take[ServiceMachine](b)[0]
+	assert.Assert(t, b.m.StillTakes(order))
+	b.end(starts[1], Faulted)
+	assert.Assert(t, !b.m.StillTakes(order))
+	b.m.Apply(b.now, ServiceReport{Order: order, Answer: Withdrawn})
+	assert.Assert(t, !b.m.workers[starts[0].Worker].cordoned)
+}
--- a/gate/lead/orders.go
+++ b/gate/lead/orders.go
@@ -47,6 +47,10 @@
 			return sched.MoveReport{Order: o, Answer: t.deps.Machines.Move(ctx, o, t.epoch)}
 		})
 	case sched.ServiceMachine:
+		if !t.machine.StillTakes(o) {
+			t.machine.Apply(time.Now(), sched.ServiceReport{Order: o, Answer: sched.Withdrawn})
+			return
+		}
 		t.giveMachine(ctx, o, func(ctx context.Context) sched.Report {
 			return sched.ServiceReport{Order: o, Answer: t.deps.Machines.Service(ctx, o, t.epoch)}
 		})
