--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -13,6 +13,8 @@
 	machineDoubt = 4 * time.Second
 	// Delay between the end of a move or of maintenance and the entry of the new worker.
 	joinMargin = 400 * time.Millisecond
+	// The machines' list may name the worker before for this long.
+	lifeDoubt = 2 * time.Second
 	// Delay of a move at the platform.
 	moveMargin = 100 * time.Millisecond
 )
@@ -79,7 +81,8 @@
 // endSilentLives notes that a silent worker is gone, since its machine runs another one or none.
 func (m *Machine) endSilentLives(now, asked time.Time, e MachineEntry) {
 	for _, w := range slices.Clone(m.byID) {
-		if w.entry.Machine == e.ID && w.listed && w.silent > 0 && w.id != e.Worker && asked.After(w.listedAt) {
+		known := asked.Sub(w.listedAt) > lifeDoubt
+		if w.entry.Machine == e.ID && w.listed && w.silent >= silentCalls && w.id != e.Worker && known {
 			m.departed[w.id] = w.born
 			m.gone(now, w, "its machine does not run it")
 		}
@@ -176,10 +179,14 @@
 	settleTime = 400 * time.Millisecond
 )
 
+// workersByMachine returns each machine's worker: the listed one, else one whose entry lapsed and that still holds tasks.
 func (m *Machine) workersByMachine() map[string]*worker {
 	byMachine := make(map[string]*worker, len(m.workers))
 	for _, w := range m.byID {
-		if w.listed && w.entry.Machine != "" {
+		if w.entry.Machine == "" || !w.listed && len(w.runs) == 0 {
+			continue
+		}
+		if known := byMachine[w.entry.Machine]; known == nil || w.listed && !known.listed || w.listed == known.listed && w.born > known.born {
 			byMachine[w.entry.Machine] = w
 		}
 	}
@@ -188,7 +195,7 @@
 
 // idle tells whether nothing runs on the worker and it is known well enough to be taken away.
 func (w *worker) idle() bool {
-	return len(w.runs) == 0 && w.verified && w.silent == 0 && !w.entry.Draining
+	return len(w.runs) == 0 && w.listed && w.verified && w.silent == 0 && !w.entry.Draining
 }
 
 // healthy tells whether the worker takes new tasks, but for pauses that are soon over.
--- a/core/sched/waves.go
+++ b/core/sched/waves.go
@@ -204,7 +204,7 @@
 	if w == nil {
 		return true
 	}
-	if !w.verified || w.silent > 0 {
+	if !w.listed || !w.verified || w.silent > 0 {
 		return false
 	}
 	return (w.batch() == 0 || hurry && w.batch() <= hurryTasks) && w.mayTake()
--- a/core/sched/waves_test.go
+++ b/core/sched/waves_test.go
@@ -208,3 +208,22 @@
 	b.m.Apply(b.now, ServiceReport{Order: order, Answer: Withdrawn})
 	assert.Assert(t, !b.m.workers[starts[0].Worker].cordoned)
 }
+
+// A worker's entry may lapse for a moment while it runs on.
+func TestUnlistedWorkersMachineIsNotTaken(t *testing.T) {
+	b := newBench(t, 4)
+	b.submit("a", lastingStep(6, 0))
+	b.answerStarts(OK)
+	b.listMachines()
+	b.wait(time.Second)
+	busy := b.m.jobs["a"].rounds[0].steps[0].tasks[0].runs[0].worker
+	assert.Assert(t, len(busy.runs) > 1)
+	entry := b.entries[busy.id]
+	delete(b.entries, busy.id)
+	b.list()
+	b.entries[busy.id] = entry
+	b.declareWave(1, entry.Machine)
+	b.listMachines()
+	b.pass(200 * time.Millisecond)
+	assert.Equal(t, len(take[ServiceMachine](b)), 0)
+}
