Run the overdue tasks of a stalled worker elsewhere

Cause: tasks on a worker that hangs but answers waited until it went on. Tests: TestTasksOfAStalledWorkerRunElsewhere and its counterpart.

--- a/core/sched/apply.go
+++ b/core/sched/apply.go
@@ -70,7 +70,7 @@
 	w := r.worker
 	switch ending {
 	case Done:
-		w.faults = 0
+		w.faults, w.good = 0, now
 	case Faulted:
 		if r.needs().Lasting && r.phase == runConfirmed && now.Sub(r.began) >= lastingSound {
 			return
--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -48,6 +48,7 @@
 	if now.Sub(m.replanned) >= replanPause {
 		m.replanned = now
 		m.wakeAll()
+		m.rescue(now)
 	}
 }
 
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -168,6 +168,7 @@
 	runs       []*run
 	lastRun    time.Time
 	avoid      string // worker on which the last attempt failed
+	rescued    int    // how often an attempt was stopped for being overdue
 }
 
 func (t *task) id() TaskID {
--- a/core/sched/load_patterns_test.go
+++ b/core/sched/load_patterns_test.go
@@ -205,3 +205,31 @@
 	p.expect(now, "pots", 100)
 	assert.Equal(t, p.trend("pots").peak, 300.0, "what was not seen whole teaches nothing")
 }
+
+// Pattern: a worker on which all tasks stand still though it answers.
+func TestTasksOfAStalledWorkerRunElsewhere(t *testing.T) {
+	b := newBench(t, 2)
+	b.submit("a", oneCore(4))
+	starts := b.answerStarts(OK)
+	stalled := starts[0].Worker
+	b.wait(4 * time.Second)
+	stops := take[StopTask](b)
+	assert.Assert(t, len(stops) >= 4, "%v", stops)
+	for _, o := range starts {
+		b.end(o, Stopped)
+	}
+	for _, o := range b.answerStarts(OK) {
+		assert.Assert(t, o.Worker != stalled)
+	}
+}
+
+// Pattern: one task that is long indeed on a worker where others end.
+func TestLongTaskOfASoundWorkerGoesOn(t *testing.T) {
+	b := newBench(t, 2)
+	b.submit("a", oneCore(2))
+	starts := b.answerStarts(OK)
+	b.wait(2 * time.Second)
+	b.end(starts[0], Done)
+	b.wait(4 * time.Second)
+	assert.Equal(t, len(take[StopTask](b)), 0)
+}
--- a/core/sched/worker.go
+++ b/core/sched/worker.go
@@ -29,6 +29,7 @@
 	rest     time.Time // it fails what it starts; not used before
 	faults   int       // failed attempts since the last good one
 	faulted  time.Time // when the last attempt failed
+	good     time.Time // when the last attempt ended well
 	cordoned bool      // no new tasks: the machine is about to be taken away
 	ceded    bool      // no new tasks: its pool has more machines than it needs
 	drainEnd time.Time // a draining worker may leave from then on
