--- a/gate/feed/configs.go
+++ b/gate/feed/configs.go
@@ -125,7 +125,7 @@
 		}
 		if err != nil {
 			c.lost(err)
-			pause(ctx, retryPause)
+			timer.Pause(ctx, retryPause)
 			continue
 		}
 		next, known = after, true
@@ -198,7 +198,7 @@
 // Heal asks other gates while the platform does not answer this one, until the context ends.
 func (c *Configs) Heal(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, askPeriod)
+		timer.Pause(ctx, askPeriod)
 		if c.Age() >= askPeersAfter {
 			c.askPeers(ctx)
 		}
@@ -241,12 +241,3 @@
 		c.fresh = max(c.fresh, started-copied.age)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/gate/feed/peers.go
+++ b/gate/feed/peers.go
@@ -11,6 +11,7 @@
 
 	"k8s.io/klog/v2"
 
+	"mangowing/core/timer"
 	"mangowing/gate/owner"
 	"mangowing/gate/ports"
 )
@@ -80,7 +81,7 @@
 		if !p.refresh(ctx) || !entered {
 			wait = peersPauseMs * time.Millisecond
 		}
-		pause(ctx, wait)
+		timer.Pause(ctx, wait)
 	}
 	return ctx.Err()
 }
--- a/gate/intake/service.go
+++ b/gate/intake/service.go
@@ -13,6 +13,7 @@
 	"mangowing/core/codes"
 	"mangowing/core/sched"
 	"mangowing/core/setup"
+	"mangowing/core/timer"
 	"mangowing/gate/feed"
 	"mangowing/gate/lead"
 	"mangowing/gate/owner"
@@ -179,7 +180,7 @@
 		default:
 			return Reply{code: a.Code()}
 		}
-		pause(ctx, retryPause)
+		timer.Pause(ctx, retryPause)
 	}
 	return s.toInbox(ctx, record, spec.ID, unsettled)
 }
@@ -229,7 +230,7 @@
 			count("cancel", a.Code(), c.Received)
 			return Reply{code: a.Code()}
 		}
-		pause(ctx, retryPause)
+		timer.Pause(ctx, retryPause)
 	}
 	record, err := sched.Encode(sched.JobCancelled{ID: id})
 	if err != nil {
@@ -258,7 +259,7 @@
 			count("state", a.Code(), c.Received)
 			return Reply{code: a.Code(), state: a.State(), pending: a.Count()}, id == ""
 		}
-		pause(ctx, retryPause)
+		timer.Pause(ctx, retryPause)
 	}
 	count("state", codes.NotOwner, c.Received)
 	return refuse(codes.NotOwner, retrySoon), id == ""
@@ -311,12 +312,3 @@
 	}
 	return strings.Trim(id, "0123456789abcdefABCDEF") == ""
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/gate/lead/journal.go
+++ b/gate/lead/journal.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"mangowing/core/sched"
+	"mangowing/core/timer"
 	"mangowing/gate/ports"
 )
 
@@ -88,7 +89,7 @@
 			return 0, err
 		}
 		klog.V(1).InfoS("journal-append-repeated", "epoch", j.epoch, "records", len(records), "error", err.Error())
-		pause(ctx, appendPause)
+		timer.Pause(ctx, appendPause)
 	}
 }
 
@@ -110,8 +111,8 @@
 	}
 	begin()
 	begun, ended := 1, 0
-	timer := time.NewTimer(step)
-	defer timer.Stop()
+	next := time.NewTimer(step)
+	defer next.Stop()
 	for {
 		select {
 		case r := <-results:
@@ -119,11 +120,11 @@
 			if r.err == nil || ended == begun {
 				return r.value, r.err
 			}
-		case <-timer.C:
+		case <-next.C:
 			if begun < tries {
 				begin()
 				begun++
-				timer.Reset(step * time.Duration(begun))
+				next.Reset(step * time.Duration(begun))
 			}
 		case <-ctx.Done():
 			var none T
@@ -180,7 +181,7 @@
 		if err == nil || errors.Is(err, ports.ErrTrimmed) || ctx.Err() != nil {
 			return page, err
 		}
-		pause(ctx, retryReadStep)
+		timer.Pause(ctx, retryReadStep)
 	}
 }
 
@@ -198,7 +199,7 @@
 		if ctx.Err() != nil {
 			return 0, err
 		}
-		pause(ctx, retryReadStep)
+		timer.Pause(ctx, retryReadStep)
 	}
 }
 
@@ -231,12 +232,3 @@
 	}
 	klog.InfoS("snapshot-marked", "offset", offset)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/gate/lead/service.go
+++ b/gate/lead/service.go
@@ -8,6 +8,7 @@
 
 	"mangowing/core/codes"
 	"mangowing/core/sched"
+	"mangowing/core/timer"
 	"mangowing/gate/feed"
 	"mangowing/gate/owner"
 	"mangowing/gate/ports"
@@ -28,6 +29,7 @@
 	Operators ports.Operators
 	Keeper    *owner.Keeper
 	Configs   *feed.Configs
+	Timers    *timer.Service
 	Options   sched.Options
 }
 
@@ -49,7 +51,7 @@
 			s.own(ctx, epoch)
 		}
 		s.refuseCalls()
-		pause(ctx, ownerLook)
+		timer.Pause(ctx, ownerLook)
 	}
 	return ctx.Err()
 }
--- a/gate/lead/term.go
+++ b/gate/lead/term.go
@@ -10,6 +10,7 @@
 
 	"mangowing/core/codes"
 	"mangowing/core/sched"
+	"mangowing/core/timer"
 	"mangowing/gate/ports"
 )
 
@@ -114,7 +115,7 @@
 			cancel()
 			return
 		}
-		pause(ctx, ownerLook)
+		timer.Pause(ctx, ownerLook)
 	}
 }
 
@@ -135,8 +136,8 @@
 	go t.watchDirectory(ctx)
 	go t.watchInbox(ctx, t.machine.InboxOffset())
 	go t.watchMachines(ctx)
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
+	ticks := t.deps.Timers.Every(tick)
+	defer ticks.Close()
 	for {
 		now := time.Now()
 		t.machine.Decide(now)
@@ -156,7 +157,7 @@
 		select {
 		case <-ctx.Done():
 			return "the gate stops"
-		case <-ticker.C:
+		case <-ticks.C():
 		case c := <-t.calls:
 			t.handle(time.Now(), c)
 		case r := <-t.reports:
--- a/gate/lead/watch.go
+++ b/gate/lead/watch.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"mangowing/core/sched"
+	"mangowing/core/timer"
 	"mangowing/gate/ports"
 )
 
@@ -48,7 +49,7 @@
 			case <-ctx.Done():
 			}
 		}
-		pause(ctx, t.directoryPause())
+		timer.Pause(ctx, t.directoryPause())
 	}
 }
 
@@ -147,7 +148,7 @@
 			continue
 		}
 		if err != nil {
-			pause(ctx, retryReadStep)
+			timer.Pause(ctx, retryReadStep)
 			continue
 		}
 		if len(page.Records) == 0 {
@@ -193,15 +194,15 @@
 }
 
 func (t *term) waitForMachines(ctx context.Context) {
-	pause(ctx, machinesPause)
+	timer.Pause(ctx, machinesPause)
 	period := machinesPeriod
 	if t.expecting.Load() {
 		period = takenPeriod
 	}
-	timer := time.NewTimer(period)
-	defer timer.Stop()
+	wait := time.NewTimer(period)
+	defer wait.Stop()
 	select {
-	case <-timer.C:
+	case <-wait.C:
 	case <-t.machinesNews:
 	case <-ctx.Done():
 	}
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -9,6 +9,7 @@
 
 	"mangowing/core/event"
 	"mangowing/core/sched"
+	"mangowing/core/timer"
 	"mangowing/gate/feed"
 	"mangowing/gate/intake"
 	"mangowing/gate/lead"
@@ -39,6 +40,7 @@
 type Node struct {
 	options  Options
 	network  *peers.Network
+	timers   *timer.Service
 	keeper   *owner.Keeper
 	configs  *feed.Configs
 	peers    *feed.Peers
@@ -49,14 +51,14 @@
 
 // New assembles the service; nothing runs yet.
 func New(o Options, p Platform) *Node {
-	n := &Node{options: o, network: peers.NewNetwork(o.PeerAddress, nil, &event.Clock{})}
+	n := &Node{options: o, timers: &timer.Service{}, network: peers.NewNetwork(o.PeerAddress, nil, &event.Clock{})}
 	n.keeper = owner.New(p.Log, o.Name, o.PeerAddress, n.eligible)
 	n.peers = feed.NewPeers(p.Log, n.network, n.keeper, o.Name, o.PeerAddress)
 	n.peers.Seed(o.Seeds)
 	n.configs = feed.New(p.Operators, n.peers.Ask)
 	n.lead = lead.New(lead.Deps{
 		Log: p.Log, Workers: p.Workers, Machines: p.Machines, Advisor: p.Advisor, Directory: p.Directory,
-		Operators: p.Operators, Keeper: n.keeper, Configs: n.configs, Options: o.Scheduler,
+		Operators: p.Operators, Keeper: n.keeper, Configs: n.configs, Timers: n.timers, Options: o.Scheduler,
 	})
 	n.intake = intake.New(n.lead, n.network, n.keeper, n.configs, p.Log)
 	n.network.Handle(n.intake.Answer())
@@ -93,6 +95,7 @@
 		klog.InfoS("supervisor-event", "supervisor", "jobs", "event", e.String())
 	}})
 	for _, l := range []leaf{
+		{"timers", n.timers.Serve},
 		{"peers", n.network.Serve},
 		{"declarations", n.configs.Follow},
 		{"declarations-of-peers", n.configs.Heal},
--- a/gate/owner/keeper.go
+++ b/gate/owner/keeper.go
@@ -198,7 +198,7 @@
 			k.Lost("released")
 			return
 		}
-		sleep(ctx, retryPause)
+		timer.Pause(ctx, retryPause)
 	}
 }
 
@@ -238,7 +238,7 @@
 func (k *Keeper) Follow(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if err := k.read(ctx); err != nil {
-			sleep(ctx, retryPause)
+			timer.Pause(ctx, retryPause)
 			continue
 		}
 		if k.free() {
@@ -402,7 +402,7 @@
 		if epoch := k.Mine(); epoch != 0 && !k.beat(ctx, epoch) {
 			pause = beatRetry
 		}
-		sleep(ctx, pause)
+		timer.Pause(ctx, pause)
 	}
 	return ctx.Err()
 }
@@ -415,12 +415,3 @@
 	}
 	return err == nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
