--- a/gate/owner/keeper.go
+++ b/gate/owner/keeper.go
@@ -37,26 +37,6 @@
 	beatRetry   = 150 * time.Millisecond
 )
 
-// View is what a gate believes of the ownership.
-type View struct {
-	name    string
-	address string
-	epoch   int64
-	seen    time.Duration // when its last record arrived, since boot
-	left    bool          // it gave the ownership up
-	refused bool          // it refused a connection
-	unmet   bool          // it did not answer this gate's last call
-}
-
-// Name returns the owner's name, empty if none is known.
-func (v View) Name() string { return v.name }
-
-// Address returns where gates reach the owner.
-func (v View) Address() string { return v.address }
-
-// Epoch returns the number of the ownership; a later one is higher.
-func (v View) Epoch() int64 { return v.epoch }
-
 // Keeper follows the ownership and claims it when it is free.
 type Keeper struct {
 	log     ports.Log
@@ -216,24 +196,6 @@
 	}
 }
 
-// kind tells the notes on the owner's topic apart.
-type kind string
-
-const (
-	kindClaim   kind = "claim"
-	kindBeat    kind = "beat"
-	kindRelease kind = "release"
-)
-
-// note is a record of the owner's topic.
-type note struct {
-	Kind    kind   `json:"kind"`
-	Name    string `json:"name"`
-	Address string `json:"address"`
-	Life    string `json:"life"`
-	Number  int64  `json:"number"`
-}
-
 // Follow reads the topic until the context ends, and claims the ownership when it is free.
 func (k *Keeper) Follow(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -280,51 +242,6 @@
 	return nil
 }
 
-// fold takes over one record of the topic.
-func (k *Keeper) fold(offset int64, record []byte) {
-	var n note
-	if err := json.Unmarshal(record, &n); err != nil {
-		klog.ErrorS(err, "owner-record-unreadable", "offset", offset)
-		return
-	}
-	now := timer.SinceBoot()
-	switch n.Kind {
-	case kindClaim:
-		klog.InfoS("owner-claimed", "owner", n.Name, "epoch", offset+1)
-		k.view = View{name: n.Name, address: n.Address, epoch: offset + 1, seen: now}
-		k.foldClaim(n, offset+1)
-		k.notify()
-	case kindBeat:
-		k.view.seen, k.view.refused = now, false
-		if n.Life == k.life {
-			k.beatenAt(n.Number)
-		}
-	case kindRelease:
-		k.view.left = true
-		k.notify()
-	}
-}
-
-// foldClaim makes this gate the owner by its own claim, and ends its ownership by another's.
-func (k *Keeper) foldClaim(n note, epoch int64) {
-	if n.Life == k.life && !k.stopped {
-		k.mine = epoch
-		k.beaten = k.sent[n.Number]
-		return
-	}
-	if k.mine != 0 && k.mine < epoch {
-		klog.InfoS("ownership-lost", "epoch", k.mine, "why", "another gate claimed it")
-		k.mine = 0
-	}
-}
-
-func (k *Keeper) beatenAt(number int64) {
-	if at, found := k.sent[number]; found {
-		k.beaten = max(k.beaten, at)
-		delete(k.sent, number)
-	}
-}
-
 // free tells whether this gate should claim the ownership.
 func (k *Keeper) free() bool {
 	if !k.eligible() {
