--- a/mango/cmds/job.go
+++ b/mango/cmds/job.go
@@ -1,7 +1,9 @@
 package cmds
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"os"
 
@@ -9,6 +11,7 @@
 
 	"mangowing/mango/jobs"
 	"mangowing/mango/show"
+	"mangowing/mango/trace"
 )
 
 // Jobs is what the commands ask of the callers' API.
@@ -21,7 +24,8 @@
 func (s *Shell) jobCommand() *cobra.Command {
 	cmd := group("job", "Hand in, watch and cancel long jobs with a team's key (no gate serves them yet)", s.jobSubmitCommand(),
 		s.jobByIDCommand("status", "Show the state of a job", Jobs.Status),
-		s.jobByIDCommand("cancel", "Cancel a job; cancelling it again changes nothing", Jobs.Cancel))
+		s.jobByIDCommand("cancel", "Cancel a job; cancelling it again changes nothing", Jobs.Cancel),
+		s.jobTimelineCommand())
 	cmd.PersistentFlags().StringSliceVar(&s.flags.callers, "callers", nil, "caller addresses of gates or of the balancer, host:port")
 	cmd.PersistentFlags().StringVar(&s.flags.teamKey, "team-key-file", "", "file with the team's key")
 	return cmd
@@ -47,6 +51,34 @@
 	}
 }
 
+func (s *Shell) jobTimelineCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "timeline ID LOG...",
+		Short:   "Show what gates' logs say of a job on the platform, in order of time; - reads the input",
+		Example: "  mango job timeline 5c0e7a21d94b36f8 gate-1.log gate-2.log",
+		Args:    cobra.MinimumNArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var lines []trace.Line
+			for _, file := range args[1:] {
+				log, err := s.readInput(file)
+				if err != nil {
+					return usagef("%s", err)
+				}
+				found, err := trace.Read(bytes.NewReader(log), args[0])
+				if err != nil {
+					return usagef("%s: %s", file, err)
+				}
+				lines = append(lines, found...)
+			}
+			trace.Sort(lines)
+			for _, l := range lines {
+				fmt.Fprintf(cmd.OutOrStdout(), "%s  %-16s %-18s %s\n", l.At(), l.Process(), l.Message(), l.Details())
+			}
+			return nil
+		},
+	}
+}
+
 func (s *Shell) readInput(path string) ([]byte, error) {
 	if path == "-" {
 		return io.ReadAll(s.spec.In)
--- /dev/null
+++ b/mango/trace/doc.go
@@ -0,0 +1,2 @@
+// Package trace finds what the gates' logs say of a job.
+package trace
