Let nothing lapse while a renewal may be on its way; check again right before an order is sent

A process that stood still between an order and its call could also send one after its ownership. TestNothingLapsesWhileARenewalMayBeOnItsWay failed, passes. Also: the machine's fields are grouped by where they come from.

--- a/core/sched/apply.go
+++ b/core/sched/apply.go
@@ -97,6 +97,7 @@
 	if !found {
 		return
 	}
+	w.granting = max(0, w.granting-1)
 	m.granted(w, rep.SentAt)
 	r := w.runs[runKey{rep.Order.Task, rep.Order.Attempt}]
 	if r == nil || r.phase == runConfirmed {
@@ -169,6 +170,7 @@
 		return
 	}
 	if r.retries++; r.retries <= startRetries {
+		r.worker.granting++
 		m.orderNow(o)
 		return
 	}
@@ -224,6 +226,7 @@
 	}
 	w.holding = false
 	if rep.Order.Lease > 0 {
+		w.granting = max(0, w.granting-1)
 		m.granted(w, rep.SentAt)
 	}
 	switch rep.Answer {
--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -55,7 +55,7 @@
 // lapse ends the attempts on workers that were silent until all leases there surely ran out.
 func (m *Machine) lapse(now time.Time) {
 	for _, w := range slices.Clone(m.byID) {
-		if w.silent == 0 && w.verified && w.listed || now.Before(w.lapse) {
+		if w.silent == 0 && w.verified && w.listed || now.Before(w.lapse) || w.granting > 0 {
 			continue
 		}
 		if len(w.runs) > 0 && (w.silent > 0 || !w.verified) {
@@ -109,6 +109,7 @@
 			order.Lease, order.Wait = m.options.Lease, m.options.Renewal
 		}
 		if order.Lease > 0 {
+			w.granting++
 			m.granted(w, now)
 		}
 		w.holding = true
--- a/core/sched/machine.go
+++ b/core/sched/machine.go
@@ -12,39 +12,46 @@
 type Machine struct {
 	options Options
 	cfg     *setup.Config
-	begun   time.Time
-	fenced  bool
+	begun   time.Time // start of the ownership, zero while the journal is replayed
+	fenced  bool      // a higher fencing token was met
 
-	jobs           map[string]*job
-	early          map[string]bool // cancelled before the job itself arrived
+	// From the journal.
+	jobs      map[string]*job
+	early     map[string]bool // cancelled before the job itself arrived
+	teams     map[string]*team
+	pools     map[string]*pool
+	poolOrder []*pool         // the same in the order in which they were met
+	inbox     int64           // offset of the first record of the inbox that was not taken over
+	waveSeen  map[int64]int64 // when waves became known, in Unix milliseconds
+	served    map[servedKey]bool
+	inService map[string]int64 // waves that machines were told to go down for and are not known to have served
+	turns     turnPlan
+
+	// From workers and the platform.
 	workers        map[string]*worker
-	byID           []*worker // the same in order of their ids
-	teams          map[string]*team
-	pools          map[string]*pool
-	poolOrder      []*pool // the same in the order in which they were met
-	inbox          int64
-	finished       []*job // in the order in which they ended
+	byID           []*worker        // the same in order of their ids
+	departed       map[string]int64 // workers whose machine was taken, with their incarnation
+	workersListed  time.Time        // when the first list of workers came
 	machines       map[string]*machine
+	machinesListed time.Time // when the last list of machines came
+	machinesNews   bool      // an order to a machine was answered since that was last asked
+	expecting      bool      // machines are on their way
 	waves          map[int64]*wave
-	turns          turnPlan
-	open           map[*job]bool    // jobs that are neither cancelled nor ended
-	departed       map[string]int64 // workers whose machine was taken, with their incarnation
-	waveSeen       map[int64]int64  // when waves became known, in Unix milliseconds
-	served         map[servedKey]bool
-	inService      map[string]int64 // waves that machines were told to go down for and are not known to have served
-	planned        time.Time        // when machines were last planned
-	replanned      time.Time
-	demand         map[string]*poolDemand // as last measured
-	expecting      bool
-	machinesListed time.Time
-	machinesNews   bool
-	workersListed  time.Time // when the first list of workers came
-	counters       Counters
-	out            Batch
-	now            []Order
-	touched        map[*job]bool // jobs whose state changed since the last Take
-	saw            map[*worker]bool
-	decisions      []Decision
+
+	// Kept for speed, or from one decision to the next.
+	open      map[*job]bool // jobs that are neither cancelled nor ended
+	finished  []*job        // in the order in which they ended
+	planned   time.Time     // when machines were last planned
+	replanned time.Time     // when all waiting tasks were last looked at
+	demand    map[string]*poolDemand
+
+	// What came out since it was last taken.
+	out       Batch
+	now       []Order
+	touched   map[*job]bool // jobs whose state changed
+	saw       map[*worker]bool
+	decisions []Decision
+	counters  Counters
 }
 
 // team counts what runs for an organisation.
--- a/core/sched/machine_test.go
+++ b/core/sched/machine_test.go
@@ -317,3 +317,29 @@
 	b.answerLooks()
 	assert.Equal(t, take[StartTask](b)[0].Worker, "w9")
 }
+
+// A starved owner learns late of what its calls have renewed: nothing lapses while one may still be on its way.
+func TestNothingLapsesWhileARenewalMayBeOnItsWay(t *testing.T) {
+	b := newBench(t, 2)
+	b.submit("a", oneCore(1))
+	first := b.answerStarts(OK)[0]
+	b.pass(time.Second)
+	var renewal HoldWorker
+	for _, o := range take[HoldWorker](b) {
+		if o.Worker == first.Worker {
+			renewal = o
+		}
+	}
+	assert.Assert(t, renewal.Lease > 0)
+	b.m.workers[first.Worker].silent = 1
+	for range 120 {
+		b.pass(50 * time.Millisecond)
+		b.answerLooks()
+	}
+	assert.Equal(t, len(take[StartTask](b)), 0, "the call has no report yet")
+	b.m.Apply(b.now, HoldReport{Order: renewal, Answer: Unknown, SentAt: b.now.Add(-time.Second)})
+	b.pass(3 * time.Second)
+	assert.Equal(t, len(take[StartTask](b)), 0, "it was sent a second ago")
+	b.pass(2 * time.Second)
+	assert.Equal(t, len(take[StartTask](b)), 1)
+}
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -327,6 +327,7 @@
 	id := t.id()
 	r := m.start(t, w, attempt)
 	r.ordered = now
+	w.granting++
 	m.counters.started++
 	m.emit(TaskStarted{Task: id, Attempt: attempt, Worker: w.id, Born: w.born})
 	m.orderAfter(StartTask{
--- a/core/sched/worker.go
+++ b/core/sched/worker.go
@@ -19,6 +19,7 @@
 	heard    time.Time
 	lapse    time.Time // what runs there has surely ended by then
 	holding  bool      // a look is on the way
+	granting int       // calls on the way that may renew what runs
 	nextHold time.Time
 	seen     int64 // number of the last end taken over
 	stored   int64 // number of the last end on the journal
--- a/gate/lead/orders.go
+++ b/gate/lead/orders.go
@@ -33,13 +33,8 @@
 				return sched.PaceReport{Order: o, Answer: t.deps.Workers.Pace(ctx, to, o, t.epoch)}
 			})
 	case sched.HoldWorker:
-		if !t.deps.Keeper.MayRenew() {
-			o.Lease = 0
-		}
 		t.toWorker(ctx, o.Worker, sched.HoldReport{Order: o, Answer: sched.Unknown}, o.Wait+holdSlack,
-			func(ctx context.Context, to ports.Target) sched.Report {
-				return t.deps.Workers.Hold(ctx, to, o, t.epoch)
-			})
+			func(ctx context.Context, to ports.Target) sched.Report { return t.hold(ctx, to, o) })
 	case sched.AskAdvice:
 		t.spawn(ctx, adviceLimit, func(ctx context.Context) sched.Report { return t.deps.Advisor.Ask(ctx, o) })
 	case sched.MoveMachine:
@@ -71,10 +66,25 @@
 	t.toWorker(ctx, o.Worker, sched.StartReport{Order: o, Answer: sched.Unknown}, orderLimit,
 		func(ctx context.Context, to ports.Target) sched.Report {
 			sent := time.Now()
+			if !t.deps.Keeper.MayOrder() {
+				// The process did not run for a while between the order and here.
+				return sched.StartReport{Order: o, Answer: sched.Withdrawn, SentAt: sent}
+			}
 			return sched.StartReport{Order: o, Answer: t.deps.Workers.Start(ctx, to, o, t.epoch), SentAt: sent}
 		})
 }
 
+// hold looks at a worker; an owner that has not reached the log for long renews nothing.
+func (t *term) hold(ctx context.Context, to ports.Target, o sched.HoldWorker) sched.Report {
+	call := o
+	if !t.deps.Keeper.MayRenew() {
+		call.Lease = 0
+	}
+	rep := t.deps.Workers.Hold(ctx, to, call, t.epoch)
+	rep.Order = o
+	return rep
+}
+
 func (t *term) giveMachine(ctx context.Context, o sched.Order, f func(context.Context) sched.Report) {
 	if !t.deps.Keeper.MayOrder() {
 		t.held = append(t.held, o)
