--- a/core/sched/harness_test.go
+++ b/core/sched/harness_test.go
@@ -24,8 +24,8 @@
 	records []Record
 }
 
-// queueOf4 is the configuration of most tests: a queue onto the pool "pots" with the spare pool "attic".
-func queueOf4() *setup.Config {
+// testConfig has a queue onto the pool "pots", one onto "desks", and the standby pool "attic".
+func testConfig() *setup.Config {
 	return setup.New(1, []setup.Queue{
 		{Name: "plans", Pool: "pots", MaxAttempts: 2, Slack: 1.6, Target: 600 * time.Millisecond},
 		{Name: "quotes", Pool: "desks", MaxAttempts: 2, Slack: 1.6, Target: 600 * time.Millisecond},
@@ -40,7 +40,7 @@
 func newBench(t *testing.T, workers int) *bench {
 	b := &bench{t: t, m: New(Options{}), now: start, entries: map[string]WorkerEntry{}, ends: map[string]int64{}}
 	b.m.Begin(b.now, 0)
-	b.m.Configure(b.now, queueOf4())
+	b.m.Configure(b.now, testConfig())
 	for i := range workers {
 		b.addWorker(fmt.Sprintf("w%d", i+1), "pots")
 	}
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -219,7 +219,6 @@
 	worker    *worker
 	phase     runPhase
 	retries   int
-	ordered   time.Time
 	began     time.Time // when the worker was known to run it
 	settled   time.Time // a worker that does not list the run in an answer to a later call does not have it
 	stopping  bool
--- a/core/sched/list.go
+++ b/core/sched/list.go
@@ -48,7 +48,6 @@
 	}
 	if e.Draining && !w.entry.Draining {
 		m.decide(now, "worker-drains", "", id, e.Remaining.String())
-		w.drainEnd = now.Add(e.Remaining)
 	}
 	w.entry = e
 	m.endEarlierLives(now, w)
--- a/core/sched/machine_test.go
+++ b/core/sched/machine_test.go
@@ -243,7 +243,7 @@
 				assert.NilError(t, b.m.Replay(r))
 			}
 			b.m.Begin(b.now, 0)
-			b.m.Configure(b.now, queueOf4())
+			b.m.Configure(b.now, testConfig())
 			b.list()
 			assert.Equal(t, len(take[StartTask](b)), 0)
 			ran := before.records[1].(TaskStarted).Worker
--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -12,9 +12,6 @@
 	Maintenance time.Duration // how long a machine is away for maintenance
 	Migration   time.Duration // how long a machine is away when it moves
 	StopLimit   time.Duration // a worker takes at most this long to stop a task
-	Notice      time.Duration // a lasting task that is away for longer counts as unavailable for any cause
-	Harm        time.Duration // a serving task may be over its target for this long
-	Checkpoint  time.Duration // work between two checkpoints
 	MovePool    bool          // machines may be moved between pools
 }
 
@@ -28,9 +25,6 @@
 	defaultMaintenance = 2 * time.Second
 	defaultMigration   = 1500 * time.Millisecond
 	defaultStopLimit   = 400 * time.Millisecond
-	defaultNotice      = 4500 * time.Millisecond
-	defaultHarm        = 4 * time.Second
-	defaultCheckpoint  = 2 * time.Second
 )
 
 func (o Options) withDefaults() Options {
@@ -46,9 +40,6 @@
 		{&o.Maintenance, defaultMaintenance},
 		{&o.Migration, defaultMigration},
 		{&o.StopLimit, defaultStopLimit},
-		{&o.Notice, defaultNotice},
-		{&o.Harm, defaultHarm},
-		{&o.Checkpoint, defaultCheckpoint},
 	} {
 		if *d.field == 0 {
 			*d.field = d.fallback
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -153,7 +153,7 @@
 			}
 			return
 		}
-		m.startOn(now, t, w, t.attempts+1)
+		m.startOn(t, w, t.attempts+1)
 	}
 }
 
@@ -184,7 +184,7 @@
 		return
 	}
 	for i, t := range s.tasks {
-		m.startOn(now, t, plan[i], attempt+1)
+		m.startOn(t, plan[i], attempt+1)
 	}
 }
 
@@ -323,10 +323,9 @@
 }
 
 // startOn records an attempt and orders it once the record is stored.
-func (m *Machine) startOn(now time.Time, t *task, w *worker, attempt int) {
+func (m *Machine) startOn(t *task, w *worker, attempt int) {
 	id := t.id()
-	r := m.start(t, w, attempt)
-	r.ordered = now
+	m.start(t, w, attempt)
 	w.granting++
 	m.counters.started++
 	m.emit(TaskStarted{Task: id, Attempt: attempt, Worker: w.id, Born: w.born})
--- a/core/sched/walk_harness_test.go
+++ b/core/sched/walk_harness_test.go
@@ -96,7 +96,7 @@
 		}
 	}
 	w.m.Begin(w.now, 0)
-	w.m.Configure(w.now, queueOf4())
+	w.m.Configure(w.now, testConfig())
 	w.list()
 }
 
--- a/core/sched/waves_test.go
+++ b/core/sched/waves_test.go
@@ -146,7 +146,7 @@
 		assert.NilError(t, b.m.Replay(r))
 	}
 	b.m.Begin(b.now, 0)
-	b.m.Configure(b.now, queueOf4())
+	b.m.Configure(b.now, testConfig())
 	b.list()
 	b.answerLooks()
 	b.declareWave(2, names...)
--- a/core/sched/worker.go
+++ b/core/sched/worker.go
@@ -33,7 +33,6 @@
 	good     time.Time // when the last attempt ended well
 	cordoned bool      // no new tasks: the machine is about to be taken away
 	ceded    bool      // no new tasks: its pool has more machines than it needs
-	drainEnd time.Time // a draining worker may leave from then on
 }
 
 type runKey struct {
