Cut the owner's cost of a call, and count a grant from when it is made

What was found on the way: a renewal was counted from before its call was prepared, which in a process without processor time can be long before its deadline was computed, so that a lapse was concluded too soon. TestNothingLapsesBeforeALateGrantIsOver fails without it.

A weak gate must still not become owner.

--- a/core/sched/apply.go
+++ b/core/sched/apply.go
@@ -98,7 +98,7 @@
 		return
 	}
 	w.granting = max(0, w.granting-1)
-	m.granted(w, rep.SentAt)
+	m.granted(w, rep.GrantedAt)
 	r := w.runs[runKey{rep.Order.Task, rep.Order.Attempt}]
 	if r == nil || r.phase == runConfirmed {
 		return
@@ -136,9 +136,9 @@
 	m.notBegun(now, r, why)
 }
 
-// granted notes that whatever runs on the worker may have been renewed by a call sent then.
-func (m *Machine) granted(w *worker, sentAt time.Time) {
-	if until := sentAt.Add(m.options.lapseAfter()); until.After(w.lapse) {
+// granted notes that whatever runs on the worker may have been renewed from then on.
+func (m *Machine) granted(w *worker, at time.Time) {
+	if until := at.Add(m.options.lapseAfter()); until.After(w.lapse) {
 		w.lapse = until
 	}
 }
@@ -191,7 +191,7 @@
 		// While it stops, the worker lists it neither as active nor as ended.
 		r.stopped = true
 		r.settled = now.Add(m.options.StopLimit + stopMargin)
-		r.worker.nextHold = now
+		m.lookSoon(now, r.worker)
 	}
 }
 
@@ -227,7 +227,7 @@
 	w.holding = false
 	if rep.Order.Lease > 0 {
 		w.granting = max(0, w.granting-1)
-		m.granted(w, rep.SentAt)
+		m.granted(w, rep.GrantedAt)
 	}
 	switch rep.Answer {
 	case OK:
@@ -272,12 +272,18 @@
 		m.takeActive(now, w, key, a)
 	}
 	m.settle(now, w, listed, rep.SentAt)
+	m.setPaces(w)
 	w.nextHold = now.Add(m.options.EndsGather)
 	if fresh || len(rep.Ended) >= endsOfOneCall {
-		w.nextHold = now
+		m.lookSoon(now, w)
 	}
 }
 
+// lookSoon lets the worker be looked at without waiting for its turn.
+func (m *Machine) lookSoon(now time.Time, w *worker) {
+	w.nextHold, m.hasten = now, true
+}
+
 // endsOfOneCall is how many ends a worker lists at most; more may wait.
 const endsOfOneCall = 500
 
--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// replanPause is the time after which waiting tasks are looked at again though nothing was heard.
-const replanPause = 200 * time.Millisecond
+const (
+	// Waiting tasks are looked at again after this time though nothing was heard.
+	replanPause = 200 * time.Millisecond
+	// All workers and open jobs are gone through no more often than this, however many events come.
+	sweepPeriod = 10 * time.Millisecond
+)
 
 // Decision is something the machine concluded, for the log.
 type Decision struct {
@@ -30,17 +34,22 @@
 
 // Decide does all that is due.
 func (m *Machine) Decide(now time.Time) {
-	m.lapse(now)
-	m.beginDueRounds(now)
-	m.repeatStops(now)
-	m.planMachines(now)
-	m.replan(now)
+	sweeps := m.hasten || now.Sub(m.swept) >= sweepPeriod
+	if sweeps {
+		m.swept, m.hasten = now, false
+		m.lapse(now)
+		m.beginDueRounds(now)
+		m.repeatStops(now)
+		m.planMachines(now)
+		m.replan(now)
+	}
 	for _, p := range m.poolOrder {
 		m.place(now, p)
 	}
-	m.setPaces(now)
-	m.look(now)
-	m.forget(now)
+	if sweeps {
+		m.look(now)
+		m.forget(now)
+	}
 }
 
 // replan looks at all waiting tasks again once in a while: pauses of workers end without a report.
@@ -54,10 +63,14 @@
 
 // lapse ends the attempts on workers that were silent until all leases there surely ran out.
 func (m *Machine) lapse(now time.Time) {
-	for _, w := range slices.Clone(m.byID) {
+	var over []*worker
+	for _, w := range m.byID {
 		if w.silent == 0 && w.verified && w.listed || now.Before(w.lapse) || w.granting > 0 {
 			continue
 		}
+		over = append(over, w)
+	}
+	for _, w := range over {
 		if len(w.runs) > 0 && (w.silent > 0 || !w.verified) {
 			m.decide(now, "leases-lapsed", "", w.id, "")
 			for _, r := range slices.Clone(w.order) {
--- a/core/sched/harness_test.go
+++ b/core/sched/harness_test.go
@@ -98,7 +98,7 @@
 // answerLooks lets each worker that was asked say what it runs by the machine's own books.
 func (b *bench) answerLooks(silent ...string) {
 	for _, o := range take[HoldWorker](b) {
-		rep := HoldReport{Order: o, SentAt: b.now, Born: b.entries[o.Worker].Born}
+		rep := HoldReport{Order: o, SentAt: b.now, GrantedAt: b.now, Born: b.entries[o.Worker].Born}
 		for _, id := range silent {
 			if id == o.Worker {
 				rep.Answer = Unknown
@@ -118,7 +118,7 @@
 func (b *bench) answerStarts(a Answer) []StartTask {
 	starts := take[StartTask](b)
 	for _, o := range starts {
-		b.m.Apply(b.now, StartReport{Order: o, Answer: a, SentAt: b.now})
+		b.m.Apply(b.now, StartReport{Order: o, Answer: a, GrantedAt: b.now})
 	}
 	b.settle()
 	return starts
--- a/core/sched/list.go
+++ b/core/sched/list.go
@@ -33,7 +33,8 @@
 	w := m.workerOf(id)
 	if !w.listed {
 		m.decide(now, "worker-listed", "", id, e.Pool)
-		w.listed, w.listedAt, w.nextHold = true, now, now
+		w.listed, w.listedAt = true, now
+		m.lookSoon(now, w)
 		if w.lapse.IsZero() && len(w.runs) > 0 {
 			w.lapse = now.Add(m.options.lapseAfter())
 		}
@@ -41,7 +42,8 @@
 	}
 	if e.Born != 0 && w.born != 0 && e.Born > w.born {
 		m.reborn(now, w, e.Born)
-		w.verified, w.nextHold = false, now
+		w.verified = false
+		m.lookSoon(now, w)
 	}
 	if w.born == 0 {
 		w.born = e.Born
--- a/core/sched/machine.go
+++ b/core/sched/machine.go
@@ -43,6 +43,8 @@
 	finished  []*job        // in the order in which they ended
 	planned   time.Time     // when machines were last planned
 	replanned time.Time     // when all waiting tasks were last looked at
+	swept     time.Time     // when all workers and open jobs were last gone through
+	hasten    bool          // they are to be gone through at once
 	demand    map[string]*poolDemand
 
 	// What came out since it was last taken.
@@ -128,6 +130,7 @@
 		w.verified, w.nextHold = false, now
 		w.lapse = now.Add(renewed + m.options.lapseAfter())
 	}
+	m.hasten = true
 }
 
 // Configure puts a configuration in force.
--- a/core/sched/machine_test.go
+++ b/core/sched/machine_test.go
@@ -90,7 +90,7 @@
 			b.submit("a", oneCore(1))
 			start := take[StartTask](b)[0]
 			for range startRetries + 1 {
-				b.m.Apply(b.now, StartReport{Order: start, Answer: Unknown, SentAt: b.now})
+				b.m.Apply(b.now, StartReport{Order: start, Answer: Unknown, GrantedAt: b.now})
 				b.settle()
 			}
 			stops := take[StopTask](b)
@@ -248,7 +248,7 @@
 			assert.Equal(t, len(take[StartTask](b)), 0)
 			ran := before.records[1].(TaskStarted).Worker
 			for _, o := range take[HoldWorker](b) {
-				rep := HoldReport{Order: o, SentAt: b.now, Born: 1}
+				rep := HoldReport{Order: o, SentAt: b.now, GrantedAt: b.now, Born: 1}
 				if o.Worker == ran {
 					rep.Active, rep.Ended = s.answer.Active, s.answer.Ended
 				}
@@ -267,10 +267,10 @@
 			b := newBench(t, 2)
 			b.submit("a", oneCore(1))
 			start := take[StartTask](b)[0]
-			b.m.Apply(b.now, StartReport{Order: start, Answer: Unknown, SentAt: b.now})
+			b.m.Apply(b.now, StartReport{Order: start, Answer: Unknown, GrantedAt: b.now})
 			b.settle()
 			assert.Equal(t, len(take[StartTask](b)), 1)
-			b.m.Apply(b.now, StartReport{Order: start, Answer: refusal, SentAt: b.now})
+			b.m.Apply(b.now, StartReport{Order: start, Answer: refusal, GrantedAt: b.now})
 			b.settle()
 			assert.Equal(t, len(take[StartTask](b)), 0)
 			for _, o := range take[StopTask](b) {
@@ -337,9 +337,36 @@
 		b.answerLooks()
 	}
 	assert.Equal(t, len(take[StartTask](b)), 0, "the call has no report yet")
-	b.m.Apply(b.now, HoldReport{Order: renewal, Answer: Unknown, SentAt: b.now.Add(-time.Second)})
+	b.m.Apply(b.now, HoldReport{Order: renewal, Answer: Unknown, SentAt: b.now.Add(-time.Second), GrantedAt: b.now.Add(-time.Second)})
 	b.pass(3 * time.Second)
 	assert.Equal(t, len(take[StartTask](b)), 0, "it was sent a second ago")
 	b.pass(2 * time.Second)
 	assert.Equal(t, len(take[StartTask](b)), 1)
 }
+
+// Pattern: an owner without processor time, whose calls leave long after they were begun.
+func TestNothingLapsesBeforeALateGrantIsOver(t *testing.T) {
+	b := newBench(t, 2)
+	b.submit("a", oneCore(1))
+	first := b.answerStarts(OK)[0]
+	b.pass(time.Second)
+	begun := b.now
+	b.m.workers[first.Worker].silent = silentCalls
+	for _, o := range take[HoldWorker](b) {
+		rep := HoldReport{Order: o, SentAt: begun, GrantedAt: begun, Born: 1}
+		if o.Worker == first.Worker {
+			rep.Answer, rep.GrantedAt = Unknown, begun.Add(2*time.Second)
+		}
+		b.m.Apply(begun, rep)
+	}
+	pass := func(until time.Time) {
+		for b.now.Before(until) {
+			b.pass(50 * time.Millisecond)
+			b.answerLooks(first.Worker)
+		}
+	}
+	pass(begun.Add(2*time.Second + defaultLease))
+	assert.Equal(t, len(take[StartTask](b)), 0, "the worker may have been renewed two seconds after the call was begun")
+	pass(begun.Add(2*time.Second + b.m.options.lapseAfter() + time.Second))
+	assert.Equal(t, len(take[StartTask](b)), 1)
+}
--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -47,6 +47,7 @@
 // ListMachines notes the machines that the platform lists, by a call that was sent at that time.
 func (m *Machine) ListMachines(now, asked time.Time, entries []MachineEntry) {
 	seen := map[string]bool{}
+	lives := m.livesByMachine()
 	for _, e := range entries {
 		seen[e.ID] = true
 		h, found := m.machines[e.ID]
@@ -58,9 +59,9 @@
 				h.entry, h.serving, h.ordered = e, wave, now
 			}
 		}
-		m.endSilentLives(now, asked, e)
+		m.endSilentLives(now, asked, e, lives[e.ID])
 		if !h.answered.IsZero() && asked.After(h.answered) {
-			m.confirmTaken(now, h, e)
+			m.confirmTaken(now, h, e, lives[e.ID])
 		}
 		back := h.serving != 0 && !h.answered.IsZero() && asked.Sub(h.answered) >= m.options.Maintenance
 		if back && e.State == MachineUp {
@@ -78,11 +79,22 @@
 	m.machinesListed = now
 }
 
+// livesByMachine returns the listed workers of each machine.
+func (m *Machine) livesByMachine() map[string][]*worker {
+	lives := make(map[string][]*worker, len(m.byID))
+	for _, w := range m.byID {
+		if w.listed {
+			lives[w.entry.Machine] = append(lives[w.entry.Machine], w)
+		}
+	}
+	return lives
+}
+
 // endSilentLives notes that a silent worker is gone, since its machine runs another one or none.
-func (m *Machine) endSilentLives(now, asked time.Time, e MachineEntry) {
-	for _, w := range slices.Clone(m.byID) {
+func (m *Machine) endSilentLives(now, asked time.Time, e MachineEntry, lives []*worker) {
+	for _, w := range lives {
 		known := asked.Sub(w.listedAt) > lifeDoubt
-		if w.entry.Machine == e.ID && w.listed && w.silent >= silentCalls && w.id != e.Worker && known {
+		if w.silent >= silentCalls && w.id != e.Worker && known {
 			m.departed[w.id] = w.born
 			m.gone(now, w, "its machine does not run it")
 		}
@@ -96,9 +108,9 @@
 
 // confirmTaken ends what ran on a machine that was taken, as a list shows that was asked for after the order's answer. An
 // answer alone proves nothing: it is the same if the machine had been taken for that before.
-func (m *Machine) confirmTaken(now time.Time, h *machine, e MachineEntry) {
-	for _, w := range slices.Clone(m.byID) {
-		if w.entry.Machine != e.ID || !w.listed || !w.cordoned {
+func (m *Machine) confirmTaken(now time.Time, h *machine, e MachineEntry, lives []*worker) {
+	for _, w := range lives {
+		if !w.listed || !w.cordoned {
 			continue
 		}
 		if e.State == MachineUp && e.Worker == w.id {
--- a/core/sched/pace.go
+++ b/core/sched/pace.go
@@ -29,16 +29,8 @@
 	}
 }
 
-// setPaces slows tasks that fill beside serving tasks near their target, and lets them go again.
-func (m *Machine) setPaces(now time.Time) {
-	for _, w := range m.byID {
-		if w.heard == now && w.verified {
-			m.setPacesOn(w)
-		}
-	}
-}
-
-func (m *Machine) setPacesOn(w *worker) {
+// setPaces slows the worker's tasks that fill beside serving tasks near their target, and lets them go again.
+func (m *Machine) setPaces(w *worker) {
 	worst, serving := 0.0, false
 	for _, r := range w.order {
 		if spec := r.needs(); spec.Serves() && r.load >= 0 {
--- a/core/sched/report.go
+++ b/core/sched/report.go
@@ -38,9 +38,9 @@
 
 // StartReport answers a StartTask.
 type StartReport struct {
-	Order  StartTask
-	Answer Answer
-	SentAt time.Time
+	Order     StartTask
+	Answer    Answer
+	GrantedAt time.Time // what runs on the worker was renewed from then on
 }
 
 // StopReport answers a StopTask.
@@ -57,12 +57,13 @@
 
 // HoldReport answers a HoldWorker.
 type HoldReport struct {
-	Order  HoldWorker
-	Answer Answer
-	SentAt time.Time
-	Born   int64 // start of the worker's incarnation in Unix milliseconds, 0 if it doesn't say
-	Active []ActiveRun
-	Ended  []EndedRun
+	Order     HoldWorker
+	Answer    Answer
+	SentAt    time.Time // not after the call was sent
+	GrantedAt time.Time // what runs on the worker was renewed from then on
+	Born      int64     // start of the worker's incarnation in Unix milliseconds, 0 if it doesn't say
+	Active    []ActiveRun
+	Ended     []EndedRun
 }
 
 // ActiveRun is an attempt that runs on a worker.
--- a/core/sched/walk_harness_test.go
+++ b/core/sched/walk_harness_test.go
@@ -207,11 +207,11 @@
 	}
 	switch o := o.(type) {
 	case StartTask:
-		w.m.Apply(w.now, StartReport{Order: o, Answer: Unknown, SentAt: w.now})
+		w.m.Apply(w.now, StartReport{Order: o, Answer: Unknown, GrantedAt: w.now})
 	case StopTask:
 		w.m.Apply(w.now, StopReport{Order: o, Answer: Unknown})
 	case HoldWorker:
-		w.m.Apply(w.now, HoldReport{Order: o, Answer: Unknown, SentAt: w.now})
+		w.m.Apply(w.now, HoldReport{Order: o, Answer: Unknown, SentAt: w.now, GrantedAt: w.now})
 	}
 }
 
@@ -223,7 +223,7 @@
 		if s == nil || w.now.Before(s.away) {
 			return nil
 		}
-		return StartReport{Order: o, Answer: w.startOn(s, o, token, sent), SentAt: sent}
+		return StartReport{Order: o, Answer: w.startOn(s, o, token, sent), GrantedAt: sent}
 	case StopTask:
 		s := w.workers[o.Worker]
 		if s == nil || w.now.Before(s.away) {
@@ -318,7 +318,7 @@
 }
 
 func (w *world) holdOn(s *simWorker, o HoldWorker, token int64, sent time.Time) Report {
-	rep := HoldReport{Order: o, SentAt: sent, Born: s.born}
+	rep := HoldReport{Order: o, SentAt: sent, GrantedAt: sent, Born: s.born}
 	if w.fenced(s, token) {
 		rep.Answer = Fenced
 		return rep
--- a/gate/lead/orders.go
+++ b/gate/lead/orders.go
@@ -65,12 +65,11 @@
 	}
 	t.toWorker(ctx, o.Worker, sched.StartReport{Order: o, Answer: sched.Unknown}, orderLimit,
 		func(ctx context.Context, to ports.Target) sched.Report {
-			sent := time.Now()
 			if !t.deps.Keeper.MayOrder() {
 				// The process did not run for a while between the order and here.
-				return sched.StartReport{Order: o, Answer: sched.Withdrawn, SentAt: sent}
+				return sched.StartReport{Order: o, Answer: sched.Withdrawn}
 			}
-			return sched.StartReport{Order: o, Answer: t.deps.Workers.Start(ctx, to, o, t.epoch), SentAt: sent}
+			return t.deps.Workers.Start(ctx, to, o, t.epoch)
 		})
 }
 
--- a/gate/ports/fleet.go
+++ b/gate/ports/fleet.go
@@ -17,7 +17,7 @@
 
 // Workers carries orders to workers under the owner's fencing token.
 type Workers interface {
-	Start(ctx context.Context, t Target, o sched.StartTask, token int64) sched.Answer
+	Start(ctx context.Context, t Target, o sched.StartTask, token int64) sched.StartReport
 	Stop(ctx context.Context, t Target, o sched.StopTask, token int64) sched.Answer
 	Pace(ctx context.Context, t Target, o sched.PaceTask, token int64) sched.Answer
 	Hold(ctx context.Context, t Target, o sched.HoldWorker, token int64) sched.HoldReport
--- a/stand/cloud/workers.go
+++ b/stand/cloud/workers.go
@@ -130,9 +130,14 @@
 }
 
 // Start begins an attempt.
-func (w *Workers) Start(_ context.Context, t ports.Target, o sched.StartTask, token int64) sched.Answer {
+func (w *Workers) Start(_ context.Context, t ports.Target, o sched.StartTask, token int64) sched.StartReport {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return sched.StartReport{Order: o, Answer: w.start(t, o, token), GrantedAt: time.Now()}
+}
+
+// start begins an attempt; the caller holds the lock.
+func (w *Workers) start(t ports.Target, o sched.StartTask, token int64) sched.Answer {
 	v, answer := w.reach(t.ID, token)
 	if v == nil {
 		return answer
@@ -179,7 +184,7 @@
 func (w *Workers) Hold(_ context.Context, t ports.Target, o sched.HoldWorker, token int64) sched.HoldReport {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	rep := sched.HoldReport{Order: o, SentAt: time.Now(), Born: 1}
+	rep := sched.HoldReport{Order: o, SentAt: time.Now(), GrantedAt: time.Now(), Born: 1}
 	v, answer := w.reach(t.ID, token)
 	if v == nil {
 		rep.Answer = answer
