Let weak gates claim later and yield to strong ones; call no job unknown while the inbox is unread

An owner that handed over asked a gate to claim which then overran another gate's fresh claim. A call that timed out closed the connection under all other calls.

Ruled out: the log (fences took 8 to 13 ms) and the workers.

Change: each gate enters the cores that it may use beside its address; one with less than 0.75 of the strongest claims 350 ms later, and hands a running ownership to a stronger gate that answers. A hand-over names the epoch, and does nothing if another claim came first. A connection is dropped only if nothing came over it during the call. "Unknown" is answered only when the inbox was read to its end within 2 s, and a job taken over from there counts as stored. The setting seeds, which nothing read, is gone.

Tests: TestWeakOwnerYieldsToAStrongGate, TestWeakGatesLetAStrongOneClaimFirst, TestJobOfTheInboxIsNeverUnknown (fails without the change).

--- a/core/config/set.go
+++ b/core/config/set.go
@@ -129,6 +129,19 @@
 	}})
 }
 
+// Number binds a setting with a number from least to most.
+func (s *Set) Number(section, key string, field *float64, least, most float64, doc string) {
+	expected := fmt.Sprintf("a number from %g to %g", least, most)
+	s.add(entry{section, key, strconv.FormatFloat(*field, 'g', -1, 64), expected, doc, false, func(v string) error {
+		n, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(n >= least && n <= most) {
+			return fmt.Errorf("%q", v)
+		}
+		*field = n
+		return nil
+	}})
+}
+
 // Duration binds a setting with a duration from least to most.
 func (s *Set) Duration(section, key string, field *time.Duration, least, most time.Duration, doc string) {
 	expected := fmt.Sprintf("a duration from %s to %s", least, most)
--- a/core/sched/intake.go
+++ b/core/sched/intake.go
@@ -30,14 +30,16 @@
 	return Accepted, 0
 }
 
-// TakeOver takes a job that a gate has accepted by way of the inbox.
+// TakeOver takes a job that a gate has accepted by way of the inbox, where it is stored.
 func (m *Machine) TakeOver(now time.Time, spec JobSpec) {
-	if _, known := m.jobs[spec.ID]; !known {
-		m.accept(now, spec)
+	j, known := m.jobs[spec.ID]
+	if !known {
+		j = m.accept(now, spec)
 	}
+	j.stored = true
 }
 
-func (m *Machine) accept(now time.Time, spec JobSpec) {
+func (m *Machine) accept(now time.Time, spec JobSpec) *job {
 	record := JobAccepted{Job: spec}
 	m.emit(record)
 	j := m.foldAccepted(record)
@@ -54,6 +56,7 @@
 		_, coreSeconds := spec.Size()
 		m.turns.arrived(now, m.poolNameOf(j), coreSeconds)
 	}
+	return j
 }
 
 // Cancel notes that a job's caller no longer wants it, and tells whether the job is known.
--- a/gate/intake/service.go
+++ b/gate/intake/service.go
@@ -277,6 +277,7 @@
 		return lead.Refuse(codes.NotOwner, 0)
 	}
 	var result response
+	began := time.Now()
 	err := s.network.Call(ctx, address, askMethod, r, &result)
 	switch {
 	case err == nil:
@@ -288,7 +289,7 @@
 		return lead.Refuse(codes.NotOwner, 0)
 	default:
 		klog.InfoS("owner-not-reached", "address", address, "kind", r.Kind, "job", r.ID, "error", err.Error())
-		s.network.Drop(address)
+		s.network.DropSilent(address, time.Since(began))
 		s.keeper.Met(address, false)
 		return lead.Refuse(codes.JobUnsettled, 0)
 	}
--- a/gate/lead/term.go
+++ b/gate/lead/term.go
@@ -25,6 +25,8 @@
 	// Callers come back this much later while the log is away.
 	storeAwayRetry = 2 * time.Second
 	takeOverLimit  = 20 * time.Second
+	// A job that is not known was accepted by nobody, if the inbox was read this lately.
+	inboxDoubt = 2 * time.Second
 )
 
 // term is one ownership of the scheduler; one goroutine runs it.
@@ -37,13 +39,14 @@
 	lists        chan map[string]sched.WorkerEntry
 	machines     chan machineList
 	machinesNews chan struct{} // ticks when the machines should be listed at once
-	inbox        chan ports.Page
+	inbox        chan inboxPage
 	stored       chan storedGroup
 	targets      map[string]ports.Target
 	storing      bool
 	expecting    atomic.Bool     // machines are on their way to a pool
 	replies      []reply         // to be given once what the machine records next is stored
 	held         []sched.Order   // wait until this gate may order again
+	inboxRead    time.Time       // all that gates put into the inbox before was taken over
 	snapshot     time.Time       // when the last snapshot was taken
 	configs      <-chan struct{} // ticks on each declaration
 	storingSince time.Time
@@ -78,7 +81,7 @@
 		lists:        make(chan map[string]sched.WorkerEntry, 1),
 		machines:     make(chan machineList, 1),
 		machinesNews: make(chan struct{}, 1),
-		inbox:        make(chan ports.Page, 1),
+		inbox:        make(chan inboxPage, 1),
 		stored:       make(chan storedGroup, 1),
 		targets:      map[string]ports.Target{},
 		configs:      s.deps.Configs.Subscribe(),
@@ -302,15 +305,15 @@
 	case submitCall:
 		t.submit(now, c)
 	case cancelCall:
-		answer := Answer{}
 		if !t.machine.Cancel(now, c.id) {
-			answer = Refuse(codes.JobUnknown, 0)
+			c.reply <- t.unknown(now)
+			return
 		}
-		t.replies = append(t.replies, reply{c.reply, answer})
+		t.replies = append(t.replies, reply{c.reply, Answer{}})
 	case stateCall:
 		state, known := t.machine.State(c.id)
 		if !known {
-			c.reply <- Refuse(codes.JobUnknown, 0)
+			c.reply <- t.unknown(now)
 			return
 		}
 		c.reply <- Answer{state: state}
@@ -319,6 +322,14 @@
 	}
 }
 
+// unknown answers for a job that is not on the journal. While the inbox may hold it, the call is to be made again.
+func (t *term) unknown(now time.Time) Answer {
+	if now.Sub(t.inboxRead) > inboxDoubt {
+		return Refuse(codes.NotOwner, 0)
+	}
+	return Refuse(codes.JobUnknown, 0)
+}
+
 func (t *term) submit(now time.Time, c submitCall) {
 	if t.storing && now.Sub(t.storingSince) > storeAwayAfter {
 		klog.InfoS("job-refused", "job", c.spec.ID, "queue", c.spec.Queue, "team", c.spec.Team, "why", "the journal can't be written")
@@ -340,7 +351,10 @@
 }
 
 // takeInbox takes over what gates accepted while they could not reach the owner.
-func (t *term) takeInbox(now time.Time, page ports.Page) {
+func (t *term) takeInbox(now time.Time, page inboxPage) {
+	if page.Next() >= page.End {
+		t.inboxRead = page.asked
+	}
 	for _, raw := range page.Records {
 		record, err := sched.Decode(raw)
 		if err != nil {
--- a/gate/lead/watch.go
+++ b/gate/lead/watch.go
@@ -139,10 +139,17 @@
 	return reflect.DeepEqual(a, b)
 }
 
-// watchInbox hands what gates put into the inbox to the term.
+// inboxPage is an answer to a read of the inbox.
+type inboxPage struct {
+	ports.Page
+	asked time.Time // the page has all records up to its end that were there then
+}
+
+// watchInbox hands what gates put into the inbox to the term, and tells it each time that there is nothing new.
 func (t *term) watchInbox(ctx context.Context, from int64) {
+	wait := time.Duration(0)
 	for ctx.Err() == nil {
-		page, err := t.readInbox(ctx, from)
+		page, err := t.readInbox(ctx, from, wait)
 		if errors.Is(err, ports.ErrTrimmed) {
 			from = page.First
 			continue
@@ -151,10 +158,7 @@
 			timer.Pause(ctx, retryReadStep)
 			continue
 		}
-		if len(page.Records) == 0 {
-			continue
-		}
-		from = page.Next()
+		from, wait = page.Next(), readWait
 		select {
 		case t.inbox <- page:
 		case <-ctx.Done():
@@ -162,10 +166,16 @@
 	}
 }
 
-func (t *term) readInbox(ctx context.Context, from int64) (ports.Page, error) {
+func (t *term) readInbox(ctx context.Context, from int64, wait time.Duration) (inboxPage, error) {
 	ctx, cancel := context.WithTimeout(ctx, readWait+directoryLimit)
 	defer cancel()
-	return t.deps.Log.Read(ctx, inboxTopic, from, readWait)
+	asked := time.Now()
+	page, err := t.deps.Log.Read(ctx, inboxTopic, from, wait)
+	if len(page.Records) == 0 && time.Since(asked) >= wait {
+		// The log answers that there is nothing only when the wait is over.
+		asked = asked.Add(wait)
+	}
+	return inboxPage{page, asked}, err
 }
 
 // machineList is an answer of the machines' interface.
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/thejerf/suture/v4"
 	"k8s.io/klog/v2"
@@ -31,8 +32,8 @@
 // Options says who the gate is.
 type Options struct {
 	Name        string
-	PeerAddress string   // where other gates connect
-	Seeds       []string // addresses of other gates that are known from the settings
+	PeerAddress string  // where other gates connect
+	Processor   float64 // cores that the gate may use
 	Scheduler   sched.Options
 }
 
@@ -52,9 +53,8 @@
 // New assembles the service; nothing runs yet.
 func New(o Options, p Platform) *Node {
 	n := &Node{options: o, timers: &timer.Service{}, network: peers.NewNetwork(o.PeerAddress, nil, &event.Clock{})}
-	n.keeper = owner.New(p.Log, o.Name, o.PeerAddress, n.eligible)
-	n.peers = feed.NewPeers(p.Log, n.network, n.keeper, o.Name, o.PeerAddress)
-	n.peers.Seed(o.Seeds)
+	n.keeper = owner.New(p.Log, o.Name, o.PeerAddress, n)
+	n.peers = feed.NewPeers(p.Log, n.network, n.keeper, o.Name, o.PeerAddress, o.Processor)
 	n.configs = feed.New(p.Operators, n.peers.Ask)
 	n.lead = lead.New(lead.Deps{
 		Log: p.Log, Workers: p.Workers, Machines: p.Machines, Advisor: p.Advisor, Directory: p.Directory,
@@ -79,8 +79,11 @@
 // Stopping tells whether a planned stop has begun.
 func (n *Node) Stopping() bool { return n.stopping.Load() }
 
-// eligible tells whether the gate may claim the ownership.
-func (n *Node) eligible() bool { return !n.stopping.Load() && n.configs.Config() != nil }
+// Handicap returns how much later than others the gate should claim the ownership of the scheduler.
+func (n *Node) Handicap() time.Duration { return n.peers.Handicap() }
+
+// Eligible tells whether the gate may claim the ownership of the scheduler.
+func (n *Node) Eligible() bool { return !n.stopping.Load() && n.configs.Config() != nil }
 
 // Stop begins a planned stop: the gate is not ready any more and gives the ownership up.
 func (n *Node) Stop(ctx context.Context) {
@@ -100,6 +103,7 @@
 		{"declarations", n.configs.Follow},
 		{"declarations-of-peers", n.configs.Heal},
 		{"gates", n.peers.Serve},
+		{"yield", n.peers.Yield},
 		{"owner", n.keeper.Follow},
 		{"beat", n.keeper.Beat},
 		{"scheduler", n.lead.Serve},
--- a/gate/owner/keeper.go
+++ b/gate/owner/keeper.go
@@ -55,14 +55,22 @@
 	next     int64         // offset of the first record that was not read
 	end      int64         // where the topic ended when this gate last heard of it
 	readOK   time.Duration // start of the last read that was answered, since boot
-	eligible func() bool
+	vacated  time.Duration // when the ownership was first seen to be vacant, since boot; 0 if it is not
+	self     Self
 }
 
-// New returns a keeper for the gate of that name, whose peers reach it at the address. It claims only while eligible
-// returns true.
-func New(log ports.Log, name, address string, eligible func() bool) *Keeper {
+// Self is what a keeper asks of its gate.
+type Self interface {
+	// Eligible tells whether the gate may claim the ownership.
+	Eligible() bool
+	// Handicap returns how much later than others the gate should claim.
+	Handicap() time.Duration
+}
+
+// New returns a keeper for the gate of that name, whose peers reach it at the address.
+func New(log ports.Log, name, address string, self Self) *Keeper {
 	return &Keeper{
-		log: log, name: name, address: address, eligible: eligible, life: rand.Text(),
+		log: log, name: name, address: address, self: self, life: rand.Text(),
 		sent: map[int64]time.Duration{}, changed: make(chan struct{}, 1),
 	}
 }
@@ -121,9 +129,10 @@
 	return k.view.name != "" && !k.view.unmet
 }
 
-// Claim claims the ownership at once, since the owner asked this gate to.
-func (k *Keeper) Claim(ctx context.Context) {
-	if !k.eligible() || k.Mine() != 0 || k.read(ctx) != nil {
+// Claim claims the ownership at once, since its owner, whose epoch is given, asked this gate to. If another gate has
+// claimed it meanwhile, nothing happens.
+func (k *Keeper) Claim(ctx context.Context, epoch int64) {
+	if !k.self.Eligible() || k.Mine() != 0 || k.read(ctx) != nil || k.View().Epoch() != epoch {
 		return
 	}
 	k.claim(ctx)
@@ -244,22 +253,24 @@
 
 // free tells whether this gate should claim the ownership.
 func (k *Keeper) free() bool {
-	if !k.eligible() {
+	if !k.self.Eligible() {
 		return false
 	}
+	handicap := k.self.Handicap()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.stopped || k.mine != 0 {
 		return false
 	}
 	if k.vacant() {
-		return true
+		return k.vacantFor() >= handicap
 	}
+	k.vacated = 0
 	patience := silence
 	if k.view.refused {
 		patience = refusedSilence
 	}
-	patience += k.turn()
+	patience += k.turn() + handicap
 	return timer.SinceBoot()-k.view.seen > patience && k.readOK > k.view.seen+patience/2
 }
 
@@ -270,6 +281,15 @@
 	return k.view.name == "" || k.view.left || formerSelf
 }
 
+// vacantFor returns how long the ownership has been vacant as far as this gate has seen.
+func (k *Keeper) vacantFor() time.Duration {
+	now := timer.SinceBoot()
+	if k.vacated == 0 {
+		k.vacated = now
+	}
+	return now - k.vacated
+}
+
 // turn spreads the claims of gates over time.
 func (k *Keeper) turn() time.Duration {
 	h := fnv.New32a()
--- a/gate/peers/network.go
+++ b/gate/peers/network.go
@@ -42,8 +42,9 @@
 }
 
 type link struct {
-	mu   sync.Mutex
-	conn *jsonrpc2.Conn
+	mu    sync.Mutex
+	conn  *jsonrpc2.Conn
+	heard *lastHeard
 }
 
 // NewNetwork returns a network that listens on the address and stamps calls with the clock; without a TLS configuration
@@ -96,7 +97,7 @@
 }
 
 func (n *Network) accept(ctx context.Context, conn net.Conn) {
-	rpc := n.converse(ctx, conn)
+	rpc := n.converse(ctx, n.traffic.count(conn))
 	n.mu.Lock()
 	n.accepted[rpc] = true
 	n.mu.Unlock()
@@ -108,7 +109,7 @@
 }
 
 func (n *Network) converse(ctx context.Context, conn net.Conn) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewPlainObjectStream(n.traffic.count(conn))
+	stream := jsonrpc2.NewPlainObjectStream(conn)
 	handler := jsonrpc2.AsyncHandler(handlerOf(n))
 	return jsonrpc2.NewConn(ctx, stream, handler, quiet(), jsonrpc2.OnSend(n.stampSent), jsonrpc2.OnRecv(n.observeReceived))
 }
@@ -212,7 +213,8 @@
 	if err != nil {
 		return nil, err
 	}
-	l.conn = n.converse(context.Background(), conn)
+	counted := n.traffic.count(conn)
+	l.conn, l.heard = n.converse(context.Background(), counted), counted.heard
 	return l.conn, nil
 }
 
@@ -257,6 +259,18 @@
 	return cfg
 }
 
+// DropSilent closes the connection to an address over which nothing came for the time given: it may be dead, and the next
+// call dials anew. A connection over which answers to other calls came is kept.
+func (n *Network) DropSilent(address string, silent time.Duration) {
+	l := n.linkTo(address)
+	l.mu.Lock()
+	heard := l.heard
+	l.mu.Unlock()
+	if heard != nil && heard.ago() >= silent {
+		n.Drop(address)
+	}
+}
+
 // Drop closes the connection to an address, so that the next call dials anew.
 func (n *Network) Drop(address string) {
 	l := n.linkTo(address)
--- a/gate/peers/traffic.go
+++ b/gate/peers/traffic.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync/atomic"
+	"time"
 )
 
 type traffic struct {
@@ -10,17 +11,37 @@
 	sent     atomic.Uint64
 }
 
+// lastHeard is when bytes last came over a connection.
+type lastHeard struct {
+	at atomic.Pointer[time.Time]
+}
+
+func (h *lastHeard) now() {
+	now := time.Now()
+	h.at.Store(&now)
+}
+
+func (h *lastHeard) ago() time.Duration { return time.Since(*h.at.Load()) }
+
 type countedConn struct {
 	net.Conn
 	traffic *traffic
+	heard   *lastHeard
 }
 
-func (t *traffic) count(conn net.Conn) net.Conn { return countedConn{conn, t} }
+func (t *traffic) count(conn net.Conn) countedConn {
+	c := countedConn{conn, t, &lastHeard{}}
+	c.heard.now()
+	return c
+}
 
 // Read counts the bytes received.
 func (c countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.traffic.received.Add(uint64(n))
+	if n > 0 {
+		c.heard.now()
+	}
 	return n, err
 }
 
--- a/stand/cloud/log.go
+++ b/stand/cloud/log.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"mangowing/core/timer"
 	"mangowing/gate/ports"
 )
 
@@ -25,10 +26,16 @@
 	topics  map[string]*topic
 	keyed   map[string]map[string][]byte
 	faults  map[string]Fault // by gate; "" is for all
+	delays  map[delayKey]time.Duration
 	changed chan struct{}
 	appends int
 }
 
+type delayKey struct {
+	gate  string
+	topic string
+}
+
 type topic struct {
 	first     int64
 	records   [][]byte
@@ -46,7 +53,7 @@
 // NewLog returns an empty log.
 func NewLog() *Log {
 	return &Log{
-		topics: map[string]*topic{}, keyed: map[string]map[string][]byte{}, faults: map[string]Fault{},
+		topics: map[string]*topic{}, keyed: map[string]map[string][]byte{}, faults: map[string]Fault{}, delays: map[delayKey]time.Duration{},
 		changed: make(chan struct{}),
 	}
 }
@@ -58,6 +65,19 @@
 	l.faults[gate] = f
 }
 
+// Slow makes a gate's reads of a topic wait for that long before they begin.
+func (l *Log) Slow(gate, topic string, delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delays[delayKey{gate, topic}] = delay
+}
+
+func (l *Log) delayOf(gate, topic string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.delays[delayKey{gate, topic}]
+}
+
 // Appends returns how many appends were done.
 func (l *Log) Appends() int {
 	l.mu.Lock()
@@ -154,6 +174,7 @@
 
 // Read returns records, waiting for the first one.
 func (v view) Read(ctx context.Context, name string, from int64, wait time.Duration) (ports.Page, error) {
+	timer.Pause(ctx, v.log.delayOf(v.gate, name))
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
--- a/stand/cloud/path_test.go
+++ b/stand/cloud/path_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"mangowing/core/setup"
 	"mangowing/gate/intake"
 	"mangowing/gate/node"
+	"mangowing/gate/ports"
 )
 
 // script drives some gates on loopback over one platform in memory.
@@ -25,7 +27,6 @@
 	operators *Operators
 	gates     map[string]*runningGate
 	ids       int
-	seeds     []string
 }
 
 type runningGate struct {
@@ -39,21 +40,28 @@
 	}}, []setup.Pool{{Name: "pots", Guards: true}}, []setup.Team{{Name: "retail", Weight: 100, Keys: keys}}, setup.Limits{})
 }
 
+// newScript starts gates that are alike.
 func newScript(t *testing.T, gates int) *script {
+	return newScriptOf(t, slices.Repeat([]float64{1}, gates)...)
+}
+
+// newScriptOf starts a gate for each of the processors given, in cores.
+func newScriptOf(t *testing.T, processors ...float64) *script {
 	s := &script{
 		t: t, log: NewLog(), workers: NewWorkers(4, "pots", 300*time.Millisecond),
 		operators: NewOperators(testConfig(1, "key-1", "key-2")), gates: map[string]*runningGate{},
 	}
-	for range gates {
-		s.seeds = append(s.seeds, freeAddress(t))
-	}
-	for i := range gates {
-		s.startGate(fmt.Sprintf("gate-%d", i+1), s.seeds[i])
+	for i, processor := range processors {
+		s.startGate(fmt.Sprintf("gate-%d", i+1), processor)
 	}
 	s.waitForOwner()
+	time.Sleep(acquaintance)
 	return s
 }
 
+// acquaintance is how long gates that start together take to learn of each other.
+const acquaintance = 400 * time.Millisecond
+
 func freeAddress(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -61,8 +69,8 @@
 	return l.Addr().String()
 }
 
-func (s *script) startGate(name, address string) {
-	n := node.New(node.Options{Name: name, PeerAddress: address, Seeds: s.seeds}, node.Platform{
+func (s *script) startGate(name string, processor float64) {
+	n := node.New(node.Options{Name: name, PeerAddress: freeAddress(s.t), Processor: processor}, node.Platform{
 		Log: s.log.View(name), Workers: s.workers, Machines: Machines{}, Advisor: Advisor{},
 		Directory: s.workers, Operators: s.operators.View(name),
 	})
@@ -223,6 +231,29 @@
 	s.completes(id)
 }
 
+// Pattern: gates of different strength, the weak ones up first.
+func TestWeakOwnerYieldsToAStrongGate(t *testing.T) {
+	t.Parallel()
+	s := newScriptOf(t, 0.2, 0.2)
+	id := s.newID()
+	assert.Equal(t, s.submit("gate-1", id, "key-1").Code(), codes.OK)
+	s.startGate("gate-3", 0.8)
+	s.until("the strong gate", func() bool { return s.owner() == "gate-3" })
+	s.completes(id)
+}
+
+// Pattern: the strong owner is lost, and gates of both strengths are left.
+func TestWeakGatesLetAStrongOneClaimFirst(t *testing.T) {
+	t.Parallel()
+	s := newScriptOf(t, 0.2, 0.2, 0.8, 0.8)
+	s.until("a strong owner", func() bool { return s.owner() == "gate-3" || s.owner() == "gate-4" })
+	owner := s.owner()
+	s.gates[owner].stop()
+	delete(s.gates, owner)
+	next := s.waitForOwner()
+	assert.Assert(t, next == "gate-3" || next == "gate-4", next)
+}
+
 func TestOwnerThatTheLogTurnsAwayHandsOver(t *testing.T) {
 	t.Parallel()
 	s := newScript(t, 3)
@@ -274,6 +305,39 @@
 	s.completes(id)
 }
 
+// Pattern: gates put jobs into the inbox while there is no owner, and callers ask for them as soon as there is one.
+func TestJobOfTheInboxIsNeverUnknown(t *testing.T) {
+	t.Parallel()
+	s := newScript(t, 2)
+	for range 2 {
+		owner := s.waitForOwner()
+		next := s.other(owner)
+		s.log.Slow(next, "inbox", 300*time.Millisecond)
+		id := s.newID()
+		s.toInbox(id)
+		s.gates[owner].node.Stop(context.Background())
+		s.until("the next owner", func() bool { return s.gates[next].node.Owns() })
+		for range 20 {
+			assert.Assert(t, s.state(next, id) != codes.JobUnknown.String())
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Equal(t, s.state(next, "00000000000000ff"), codes.JobUnknown.String())
+		s.gates[owner].stop()
+		delete(s.gates, owner)
+		s.startGate(owner, 1)
+	}
+}
+
+// toInbox accepts a job as a gate does that reaches no owner.
+func (s *script) toInbox(id string) {
+	record, err := sched.Encode(sched.JobAccepted{Job: sched.JobSpec{
+		ID: id, Queue: "plans", Pool: "pots", Team: "retail", MaxAttempts: 2, Steps: []sched.StepSpec{{Count: 1, CPU: 500, EstimateMs: 300}},
+	}})
+	assert.NilError(s.t, err)
+	_, err = s.log.View("").Append(context.Background(), ports.Append{Topic: "inbox", Records: [][]byte{record}, EndsAt: ports.NoCondition})
+	assert.NilError(s.t, err)
+}
+
 func TestSilentWorkersTasksRunElsewhere(t *testing.T) {
 	t.Parallel()
 	s := newScript(t, 1)
