Read large configurations over narrow links, and keep what a successor replays small

The configuration has 1,414 queues (about 350 kB); several versions had come meanwhile, each gate read them all within 1.9 s or began anew, and asked three other gates for the whole configuration every 400 ms, with 600 ms to answer, which filled the link.

Ruled out: dead connections (the owner's topic was read over them at 39.98 s).

--- a/core/sched/machine_test.go
+++ b/core/sched/machine_test.go
@@ -201,6 +201,9 @@
 	b.submit("b", oneCore(1))
 	b.answerStarts(OK)
 	b.m.Cancel(b.now, "b")
+	b.submit("c", oneCore(1))
+	b.end(b.answerStarts(OK)[0], Done)
+	b.m.CancelEarly(b.now, "d")
 	b.settle()
 	for _, records := range [][]Record{b.records, b.m.Snapshot()} {
 		next := New(Options{})
@@ -216,6 +219,12 @@
 		assert.Equal(t, a, InProgress)
 		cancelled, _ := next.State("b")
 		assert.Equal(t, cancelled, Cancelled)
+		done, _ := next.State("c")
+		assert.Equal(t, done, Completed)
+		next.TakeOver(b.now, JobSpec{ID: "d", Steps: []StepSpec{oneCore(1)}})
+		next.Stored(next.Take())
+		early, _ := next.State("d")
+		assert.Equal(t, early, Cancelled, "it was cancelled before it came")
 		s := next.jobs["a"].rounds[0].steps[0]
 		assert.Equal(t, s.undone, 1)
 		assert.Equal(t, s.running, 1)
@@ -223,6 +232,33 @@
 	}
 }
 
+// Pattern: thousands of jobs that ended and can still be asked for.
+func TestEndedJobsTakeLittleOfASnapshot(t *testing.T) {
+	b := newBench(t, 1)
+	size := func() int {
+		n := 0
+		for _, r := range b.m.Snapshot() {
+			raw, err := Encode(r)
+			assert.NilError(t, err)
+			n += len(raw)
+		}
+		return n
+	}
+	empty := size()
+	verdict, _ := b.m.Submit(b.now, JobSpec{
+		ID: "5c0e7a21d94b36f8", Queue: "plans", Pool: "pots", Team: "floor", Payload: string(make([]byte, 4000)),
+		Steps: []StepSpec{oneCore(4)}, MaxAttempts: 2, Slack: 1.6, TargetMs: 600,
+	})
+	assert.Equal(t, verdict, Accepted)
+	b.settle()
+	assert.Assert(t, size()-empty > 4000)
+	for _, o := range b.answerStarts(OK) {
+		b.end(o, Done)
+	}
+	assert.Equal(t, b.state("5c0e7a21d94b36f8"), "completed")
+	assert.Assert(t, size()-empty < 150, "%d", size()-empty)
+}
+
 func TestNewOwnerAsksBeforeItOrders(t *testing.T) {
 	scenarios := []struct {
 		testName string
--- a/core/sched/snapshot.go
+++ b/core/sched/snapshot.go
@@ -9,6 +9,9 @@
 	for _, j := range m.jobs {
 		records = append(records, saveJob(j))
 	}
+	for id := range m.early {
+		records = append(records, JobCancelled{ID: id})
+	}
 	for number, at := range m.waveSeen {
 		records = append(records, WaveSeen{Wave: number, AtMs: at})
 	}
@@ -29,6 +32,11 @@
 	if !j.ended.IsZero() {
 		saved.EndedMs = j.ended.UnixMilli()
 	}
+	if !j.live() && j.running == 0 {
+		// Callers still ask how it ended, and nothing else of it is needed.
+		saved.Job.Payload, saved.Job.Steps = "", nil
+		return saved
+	}
 	for _, r := range j.rounds {
 		for _, s := range r.steps {
 			for _, t := range s.tasks {
--- a/gate/feed/configs.go
+++ b/gate/feed/configs.go
@@ -15,27 +15,27 @@
 )
 
 const (
-	readWait   = 700 * time.Millisecond
-	readLimit  = 1200 * time.Millisecond
+	readWait = 700 * time.Millisecond
+	// A large configuration takes long over a narrow link; the adapter gives up sooner if nothing comes.
+	readLimit  = 15 * time.Second
 	retryPause = 150 * time.Millisecond
 	// Other gates are asked when the platform was not heard for this long.
 	askPeersAfter = 1100 * time.Millisecond
 	askPeriod     = 400 * time.Millisecond
 	askLimit      = 600 * time.Millisecond
+	fetchLimit    = 8 * time.Second
 )
 
-// Copy is a configuration with its age.
+// Copy is what another gate says of its configuration.
 type Copy struct {
-	raw     []byte
 	version int64
 	age     time.Duration
+	from    string
 }
 
-// NewCopy returns the copy of a configuration, in its encoded form, that was in force that long ago.
-func NewCopy(raw []byte, version int64, age time.Duration) Copy { return Copy{raw, version, age} }
-
-// Raw returns the encoded form.
-func (c Copy) Raw() []byte { return c.raw }
+// NewCopy returns what the gate at an address said: which version it has, and how long ago that was known to be the
+// newest.
+func NewCopy(version int64, age time.Duration, from string) Copy { return Copy{version, age, from} }
 
 // Version returns the configuration's version, 0 for none.
 func (c Copy) Version() int64 { return c.version }
@@ -43,13 +43,18 @@
 // Age returns how long ago it was known to be the newest.
 func (c Copy) Age() time.Duration { return c.age }
 
-// AskPeers returns the copies of other gates; those whose version is the given one carry no encoded form.
-type AskPeers func(ctx context.Context, version int64) []Copy
+// Others are the other gates.
+type Others interface {
+	// Ask asks some gates which version they have.
+	Ask(ctx context.Context) []Copy
+	// Fetch returns the encoded form of the configuration of the gate at an address.
+	Fetch(ctx context.Context, address string) ([]byte, error)
+}
 
 // Configs is a gate's copy of what operators declare.
 type Configs struct {
 	operators ports.Operators
-	ask       AskPeers
+	others    Others
 
 	mu      sync.Mutex
 	cfg     *setup.Config
@@ -58,11 +63,12 @@
 	waves   map[int64]sched.Wave
 	changed []chan struct{}
 	reading bool // the platform answers
+	fetches bool // a newer configuration is on its way from another gate
 }
 
 // New returns an empty copy.
-func New(operators ports.Operators, ask AskPeers) *Configs {
-	return &Configs{operators: operators, ask: ask, waves: map[int64]sched.Wave{}}
+func New(operators ports.Operators, others Others) *Configs {
+	return &Configs{operators: operators, others: others, waves: map[int64]sched.Wave{}}
 }
 
 // Config returns the newest configuration that is known, nil for none.
@@ -79,18 +85,21 @@
 	return timer.SinceBoot() - c.fresh
 }
 
-// Copy returns the configuration for another gate that has the given version.
-func (c *Configs) Copy(version int64) Copy {
+// Newest returns the version of the copy and how long ago it was known to be the newest; version 0 is none.
+func (c *Configs) Newest() (version int64, age time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.cfg == nil {
-		return Copy{}
+		return 0, 0
 	}
-	copied := Copy{version: c.cfg.Version(), age: timer.SinceBoot() - c.fresh}
-	if copied.version > version {
-		copied.raw = c.raw
-	}
-	return copied
+	return c.cfg.Version(), timer.SinceBoot() - c.fresh
+}
+
+// Raw returns the copy's encoded form, nil if there is none.
+func (c *Configs) Raw() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.raw
 }
 
 // Waves returns the waves that were declared.
@@ -135,7 +144,7 @@
 }
 
 func (c *Configs) readOnce(ctx context.Context, next int64, known bool) ([]ports.Declared, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, readWait+readLimit)
+	ctx, cancel := context.WithTimeout(ctx, readLimit)
 	defer cancel()
 	if !known {
 		return c.operators.All(ctx)
@@ -208,36 +217,44 @@
 
 func (c *Configs) askPeers(ctx context.Context) {
 	started := timer.SinceBoot()
-	version := int64(0)
-	if cfg := c.Config(); cfg != nil {
-		version = cfg.Version()
-	}
 	askCtx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
-	for _, copied := range c.ask(askCtx, version) {
-		c.adoptCopy(copied, started)
+	for _, copied := range c.others.Ask(askCtx) {
+		c.compare(ctx, copied, started)
 	}
 }
 
-func (c *Configs) adoptCopy(copied Copy, started time.Duration) {
+// compare takes over how fresh the gate's own version is, and fetches a newer one, one at a time: it may be large.
+func (c *Configs) compare(ctx context.Context, copied Copy, asked time.Duration) {
 	if copied.version == 0 {
 		return
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch known := c.cfg != nil; {
+	case known && copied.version == c.cfg.Version():
+		c.fresh = max(c.fresh, asked-copied.age)
+	case (!known || copied.version > c.cfg.Version()) && !c.fetches:
+		c.fetches = true
+		go c.fetch(ctx, copied.from)
+	}
+}
+
+// fetch takes over the configuration of another gate, if it is newer.
+func (c *Configs) fetch(ctx context.Context, from string) {
+	ctx, cancel := context.WithTimeout(ctx, fetchLimit)
+	defer cancel()
+	raw, err := c.others.Fetch(ctx, from)
 	var cfg *setup.Config
-	if len(copied.raw) > 0 {
-		decoded, err := c.operators.Decode(copied.raw)
-		if err != nil {
-			klog.ErrorS(err, "peer-configuration-unreadable", "version", copied.version)
-			return
-		}
-		cfg = decoded
+	if err == nil {
+		cfg, err = c.operators.Decode(raw)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if cfg != nil {
-		c.install(cfg, copied.raw, "peer")
-	}
-	if c.cfg != nil && copied.version == c.cfg.Version() {
-		c.fresh = max(c.fresh, started-copied.age)
+	c.fetches = false
+	if err != nil {
+		klog.InfoS("peer-configuration-not-fetched", "from", from, "error", err.Error())
+		return
 	}
+	c.install(cfg, raw, "peer")
 }
--- a/gate/feed/handover.go
+++ b/gate/feed/handover.go
@@ -70,7 +70,7 @@
 func (p *Peers) yield(ctx context.Context, epoch int64) bool {
 	for _, address := range p.stronger() {
 		callCtx, cancel := context.WithTimeout(ctx, yieldLimit)
-		result, err := p.sync(callCtx, address, 0)
+		result, err := p.sync(callCtx, address)
 		cancel()
 		if err == nil && result.AgeMs < freshPeer.Milliseconds() {
 			p.letClaim(ctx, address, epoch)
--- a/gate/feed/peers.go
+++ b/gate/feed/peers.go
@@ -10,6 +10,7 @@
 
 const (
 	syncMethod  = "gate.sync"
+	fetchMethod = "gate.fetch"
 	claimMethod = "gate.claim"
 	claimLimit  = 500 * time.Millisecond
 	// An owner hands over to a gate that had an answer of the platform within this time.
@@ -23,25 +24,26 @@
 	DropSilent(address string, silent time.Duration)
 }
 
-type syncParams struct {
-	Version int64 `json:"version"`
-}
+type syncParams struct{}
 
 type syncResult struct {
 	Version int64  `json:"version"`
-	Raw     []byte `json:"raw,omitempty"`
 	AgeMs   int64  `json:"age-ms"`
 	Owner   string `json:"owner"`
 	Address string `json:"address"`
 	Epoch   int64  `json:"epoch"`
 }
 
-// Ask asks some gates for their copy of the configuration and learns who is owner.
-func (p *Peers) Ask(ctx context.Context, version int64) []Copy {
+type fetchResult struct {
+	Raw []byte `json:"raw"`
+}
+
+// Ask asks some gates which configuration they have and learns who is owner.
+func (p *Peers) Ask(ctx context.Context) []Copy {
 	addresses := p.addresses()
 	copies := make(chan Copy, len(addresses))
 	for _, a := range addresses {
-		go func() { copies <- p.askOne(ctx, a, version) }()
+		go func() { copies <- p.askOne(ctx, a) }()
 	}
 	out := make([]Copy, 0, len(addresses))
 	for range addresses {
@@ -50,8 +52,8 @@
 	return out
 }
 
-func (p *Peers) askOne(ctx context.Context, address string, version int64) Copy {
-	result, err := p.sync(ctx, address, version)
+func (p *Peers) askOne(ctx context.Context, address string) Copy {
+	result, err := p.sync(ctx, address)
 	if err != nil {
 		klog.V(1).InfoS("peer-not-reached", "address", address, "error", err.Error())
 		return Copy{}
@@ -59,13 +61,13 @@
 	if result.AgeMs < freshPeer.Milliseconds() {
 		p.handOver(ctx, address)
 	}
-	return NewCopy(result.Raw, result.Version, time.Duration(result.AgeMs)*time.Millisecond)
+	return NewCopy(result.Version, time.Duration(result.AgeMs)*time.Millisecond, address)
 }
 
-func (p *Peers) sync(ctx context.Context, address string, version int64) (syncResult, error) {
+func (p *Peers) sync(ctx context.Context, address string) (syncResult, error) {
 	var result syncResult
 	began := time.Now()
-	if err := p.network.Call(ctx, address, syncMethod, syncParams{version}, &result); err != nil {
+	if err := p.network.Call(ctx, address, syncMethod, syncParams{}, &result); err != nil {
 		p.network.DropSilent(address, time.Since(began))
 		return result, err
 	}
@@ -73,17 +75,27 @@
 	return result, nil
 }
 
+// Fetch returns the configuration of the gate at an address.
+func (p *Peers) Fetch(ctx context.Context, address string) ([]byte, error) {
+	var result fetchResult
+	err := p.network.Call(ctx, address, fetchMethod, syncParams{}, &result)
+	return result.Raw, err
+}
+
 // Answer returns the handler of other gates' questions.
 func (p *Peers) Answer(configs *Configs) (method string, handle func(context.Context, json.RawMessage) (any, error)) {
-	return syncMethod, func(_ context.Context, raw json.RawMessage) (any, error) {
-		var params syncParams
-		if err := json.Unmarshal(raw, &params); err != nil {
-			return nil, err
-		}
-		c, v := configs.Copy(params.Version), p.keeper.View()
+	return syncMethod, func(context.Context, json.RawMessage) (any, error) {
+		version, age := configs.Newest()
+		v := p.keeper.View()
 		return syncResult{
-			Version: c.version, Raw: c.raw, AgeMs: c.age.Milliseconds(),
-			Owner: v.Name(), Address: v.Address(), Epoch: v.Epoch(),
+			Version: version, AgeMs: age.Milliseconds(), Owner: v.Name(), Address: v.Address(), Epoch: v.Epoch(),
 		}, nil
 	}
 }
+
+// AnswerFetch returns the handler of other gates that want the configuration.
+func (p *Peers) AnswerFetch(configs *Configs) (method string, handle func(context.Context, json.RawMessage) (any, error)) {
+	return fetchMethod, func(context.Context, json.RawMessage) (any, error) {
+		return fetchResult{configs.Raw()}, nil
+	}
+}
--- a/gate/lead/journal.go
+++ b/gate/lead/journal.go
@@ -133,11 +133,11 @@
 	}
 }
 
-// replay reads the journal from the last snapshot to its end into the machine.
-func (j *journal) replay(ctx context.Context, m *sched.Machine) error {
+// replay reads the journal from the last snapshot to its end into the machine, and returns how many bytes that were.
+func (j *journal) replay(ctx context.Context, m *sched.Machine) (size int, err error) {
 	from, err := j.snapshotOffset(ctx)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	n := 0
 	for from < j.end {
@@ -148,16 +148,17 @@
 			continue
 		}
 		if err != nil {
-			return err
+			return 0, err
 		}
 		for _, raw := range page.Records {
 			n++
+			size += len(raw)
 			replayOne(m, raw)
 		}
 		from = page.Next()
 	}
-	klog.InfoS("journal-replayed", "epoch", j.epoch, "records", n, "end", j.end)
-	return nil
+	klog.InfoS("journal-replayed", "epoch", j.epoch, "records", n, "bytes", size, "end", j.end)
+	return size, nil
 }
 
 func replayOne(m *sched.Machine, raw []byte) {
--- a/gate/lead/term.go
+++ b/gate/lead/term.go
@@ -19,6 +19,10 @@
 	reportsQueue   = 1024
 	eventsAtOnce   = 128
 	snapshotPeriod = 60 * time.Second
+	// A successor behind the narrowest link replays this much in half a second.
+	snapshotBytes = 512 << 10
+	// A snapshot is taken no sooner than when the journal has grown by this many times the one before.
+	snapshotGrowth = 2
 	loadsPeriod    = time.Second
 	// An append without an answer for this long means that the log is away.
 	storeAwayAfter = 700 * time.Millisecond
@@ -48,6 +52,8 @@
 	held         []sched.Order   // wait until this gate may order again
 	inboxRead    time.Time       // all that gates put into the inbox before was taken over
 	snapshot     time.Time       // when the last snapshot was taken
+	unsaved      int             // bytes that a successor would replay beside the last snapshot
+	saved        int             // bytes of the last snapshot
 	configs      <-chan struct{} // ticks on each declaration
 	storingSince time.Time
 	loadsLogged  time.Time
@@ -99,9 +105,11 @@
 		return err
 	}
 	fenced := time.Now()
-	if err := t.journal.replay(ctx, t.machine); err != nil {
+	replayed, err := t.journal.replay(ctx, t.machine)
+	if err != nil {
 		return err
 	}
+	t.unsaved = replayed
 	countTakeover(fenced.Sub(started), time.Since(fenced))
 	klog.InfoS("takeover", "epoch", t.epoch, "fence-ms", fenced.Sub(started).Milliseconds(),
 		"replay-ms", time.Since(fenced).Milliseconds())
@@ -240,10 +248,11 @@
 	g := group{batch: t.machine.Take(), replies: t.replies, snapshot: -1}
 	t.replies = nil
 	t.encode(&g, g.batch.Records)
-	if now := time.Now(); now.Sub(t.snapshot) >= snapshotPeriod {
-		t.snapshot = now
+	t.unsaved += sizeOf(g.records)
+	if now := time.Now(); now.Sub(t.snapshot) >= snapshotPeriod || t.unsaved >= max(snapshotBytes, snapshotGrowth*t.saved) {
 		g.snapshot = len(g.records)
 		t.encode(&g, t.machine.Snapshot())
+		t.snapshot, t.unsaved, t.saved = now, 0, sizeOf(g.records[g.snapshot:])
 	}
 	if len(g.records) == 0 {
 		t.complete(ctx, g)
@@ -258,6 +267,14 @@
 	}()
 }
 
+func sizeOf(records [][]byte) int {
+	size := 0
+	for _, r := range records {
+		size += len(r)
+	}
+	return size
+}
+
 func (t *term) encode(g *group, records []sched.Record) {
 	for _, r := range records {
 		raw, err := sched.Encode(r)
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -55,7 +55,7 @@
 	n := &Node{options: o, timers: &timer.Service{}, network: peers.NewNetwork(o.PeerAddress, nil, &event.Clock{})}
 	n.keeper = owner.New(p.Log, o.Name, o.PeerAddress, n)
 	n.peers = feed.NewPeers(p.Log, n.network, n.keeper, o.Name, o.PeerAddress, o.Processor)
-	n.configs = feed.New(p.Operators, n.peers.Ask)
+	n.configs = feed.New(p.Operators, n.peers)
 	n.lead = lead.New(lead.Deps{
 		Log: p.Log, Workers: p.Workers, Machines: p.Machines, Advisor: p.Advisor, Directory: p.Directory,
 		Operators: p.Operators, Keeper: n.keeper, Configs: n.configs, Timers: n.timers, Options: o.Scheduler,
@@ -63,6 +63,7 @@
 	n.intake = intake.New(n.lead, n.network, n.keeper, n.configs, p.Log)
 	n.network.Handle(n.intake.Answer())
 	n.network.Handle(n.peers.Answer(n.configs))
+	n.network.Handle(n.peers.AnswerFetch(n.configs))
 	n.network.Handle(n.peers.AnswerClaim())
 	return n
 }
