Let a strained owner and a full fleet serve in time what they can, rather than everything too late

Traces showed four things. Each event of a pool with a backlog ordered all its waiting steps anew (benchmark with 400 jobs a second: 358 ms of processor time for a second). Starts beyond what the owner can send waited as goroutines, timed out after 500 ms and were sent again (3,500 goroutines, 240 ends a second). The job whose latest start was next went first, so that in a backlog each job was begun just too late. And a team's jobs beyond its share were let in as long as no other work waited, whatever was waiting of that kind.

Change: a pool's waiting tasks are looked at three times in 10 ms at the most, among workers with room for the smallest. The quickest start of a tenth of a second tells the owner's strain; it bounds the starts under way, spaces looks, and refuses at once what is beyond a share or can't be served. Jobs not begun are certain, doubtful (0.35 of their estimates and 120 ms a step before their latest start) or late. Excess waits behind all work. Machines go to pools whose work is there before those whose turn is expected. Lasting jobs tell nothing of turns. Weak gates claim 700 ms later, and are handed nothing by a stronger one.

Tests: load_patterns_test.go names the patterns.

--- a/core/sched/apply.go
+++ b/core/sched/apply.go
@@ -58,6 +58,9 @@
 	record := TaskEnded{Task: r.task.id(), Attempt: r.attempt, Ending: ending, Checkpoint: checkpoint}
 	m.emit(record)
 	m.counters.ended[ending]++
+	if ending == Done {
+		m.flow.add(now, r.needs().Uses().Cores()*r.needs().Estimate().Seconds())
+	}
 	m.judge(now, r, ending)
 	m.end(r.task, record, now)
 	if j := r.task.job(); j.outcome.Final() {
@@ -100,7 +103,11 @@
 	w.granting = max(0, w.granting-1)
 	m.granted(w, rep.GrantedAt)
 	r := w.runs[runKey{rep.Order.Task, rep.Order.Attempt}]
-	if r == nil || r.phase == runConfirmed {
+	if r == nil {
+		return
+	}
+	m.noteAnswer(now, r, rep)
+	if r.phase == runConfirmed {
 		return
 	}
 	switch rep.Answer {
@@ -273,7 +280,7 @@
 	}
 	m.settle(now, w, listed, rep.SentAt)
 	m.setPaces(w)
-	w.nextHold = now.Add(m.options.EndsGather)
+	w.nextHold = now.Add(m.endsGather())
 	if fresh || len(rep.Ended) >= endsOfOneCall {
 		m.lookSoon(now, w)
 	}
--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -42,6 +42,7 @@
 		m.repeatStops(now)
 		m.planMachines(now)
 		m.replan(now)
+		m.strain.rest(now)
 	}
 	for _, p := range m.poolOrder {
 		m.place(now, p)
--- a/core/sched/fold.go
+++ b/core/sched/fold.go
@@ -207,6 +207,9 @@
 
 // drop takes an attempt that has ended off its worker.
 func (m *Machine) drop(r *run) {
+	if r.underway {
+		m.window.given--
+	}
 	t := r.task
 	s := t.step
 	for i, other := range t.runs {
--- a/core/sched/intake.go
+++ b/core/sched/intake.go
@@ -52,7 +52,7 @@
 	if j.cancelled {
 		m.forgetLater(j, now)
 	}
-	if j.live() && !spec.Excess {
+	if j.live() && !spec.Excess && !spec.Lasting() {
 		_, coreSeconds := spec.Size()
 		m.turns.arrived(now, m.poolNameOf(j), coreSeconds)
 	}
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -219,6 +219,7 @@
 	worker    *worker
 	phase     runPhase
 	retries   int
+	underway  bool      // the order to start it was not answered yet
 	began     time.Time // when the worker was known to run it
 	settled   time.Time // a worker that does not list the run in an answer to a later call does not have it
 	stopping  bool
--- a/core/sched/load_bench_test.go
+++ b/core/sched/load_bench_test.go
@@ -15,15 +15,22 @@
 		b.Run(fmt.Sprintf("%d-workers", pools*workersPerPool), func(b *testing.B) {
 			f := newFleet(pools)
 			for b.Loop() {
-				f.second()
+				f.second(60)
 			}
 		})
 	}
 }
 
+// Pattern: a hot team hands in more than the whole fleet can do, so that hundreds of jobs wait.
+func BenchmarkBacklogOnALargeFleet(b *testing.B) {
+	f := newFleet(4)
+	for b.Loop() {
+		f.second(400)
+	}
+}
+
 const (
 	workersPerPool = 80
-	jobsPerSecond  = 60
 	tasksPerJob    = 8
 	turnSeconds    = 4
 )
@@ -101,8 +108,8 @@
 	})
 }
 
-// second plays a second in which one pool in four has its turn.
-func (f *fleet) second() {
+// second plays a second in which one pool in four has its turn, with so many jobs.
+func (f *fleet) second(jobsPerSecond int) {
 	f.seconds++
 	const steps = 200
 	for i := range steps {
--- a/core/sched/load_patterns_test.go
+++ b/core/sched/load_patterns_test.go
@@ -96,23 +96,27 @@
 	scenarios := []struct {
 		testName string
 		urgent   float64 // core-seconds ahead
+		late     float64
 		excess   bool
 		refused  bool
 	}{
-		{"idle pool", 0, false, false},
-		{"late but useful", 400, false, false},
-		{"useless", 600, false, true},
-		{"beyond the share, idle pool", 50, true, false},
-		{"beyond the share, busy pool", 90, true, true},
+		{"idle pool", 0, 0, false, false},
+		{"late but useful", 400, 0, false, false},
+		{"useless", 600, 0, false, true},
+		{"late work goes behind it", 400, 900, false, false},
+		{"beyond the share, idle pool", 50, 0, true, false},
+		{"beyond the share, busy pool", 90, 0, true, true},
+		{"beyond the share, much of that kind waits", 10, 80, true, true},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
-			m.demand = map[string]*poolDemand{"pots": {urgent: s.urgent, reach: 100}}
+			m.demand = map[string]*poolDemand{"pots": {urgent: s.urgent, late: s.late, reach: 100}}
 			spec.Excess = s.excess
 			after, refused := m.overloaded(&spec)
 			assert.Equal(t, refused, s.refused)
 			if refused {
 				assert.Assert(t, after.Seconds() >= s.urgent/100)
+				assert.Assert(t, !s.excess || after.Seconds() >= (s.urgent+s.late)/100)
 			}
 		})
 	}
@@ -129,6 +133,24 @@
 	assert.Equal(t, demand["desks"].need, 10)
 }
 
+// Pattern: a turn that was forecast too high, beside a pool whose work waits.
+func TestWorkThatIsThereGoesBeforeWorkThatIsExpected(t *testing.T) {
+	scenarios := []struct {
+		testName    string
+		pots, desks poolDemand
+		expected    [2]int
+	}{
+		{"enough for what is there", poolDemand{machines: 30, need: 40, present: 10}, poolDemand{machines: 10, need: 20, present: 20}, [2]int{20, 20}},
+		{"too few for what is there", poolDemand{machines: 30, need: 90, present: 10}, poolDemand{machines: 10, need: 70, present: 70}, [2]int{5, 35}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			assert.Assert(t, ration(map[string]*poolDemand{"pots": &s.pots, "desks": &s.desks}))
+			assert.Equal(t, [2]int{s.pots.need, s.desks.need}, s.expected)
+		})
+	}
+}
+
 // Pattern: one pool's turn ends as the other's begins.
 func TestIdleMachinesMoveToThePoolThatLacksThem(t *testing.T) {
 	b := newBench(t, 6)
@@ -233,3 +255,109 @@
 	b.wait(4 * time.Second)
 	assert.Equal(t, len(take[StopTask](b)), 0)
 }
+
+// Pattern: a hot team on a fleet that is larger than what its owner has processor time for.
+func TestStrainedOwnerRefusesWhatIsBeyondAShare(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		strain   time.Duration
+		excess   Verdict
+		ordinary Verdict
+	}{
+		{"time enough", 0, Accepted, Accepted},
+		{"strained", strained, Overload, Accepted},
+		{"exhausted", exhausted, Overload, Overload},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			b := newBench(t, 4)
+			b.m.strain.strain = s.strain
+			submit := func(id, team string) Verdict {
+				verdict, after := b.m.Submit(b.now, JobSpec{ID: id, Queue: "plans", Pool: "pots", Team: team, Steps: []StepSpec{oneCore(1)}, Slack: 1.6, TargetMs: 600})
+				assert.Equal(t, verdict == Overload, after > 0)
+				return verdict
+			}
+			b.m.teamOf("floor").share = shareMeter{filled: b.now}
+			assert.Equal(t, submit("hot", "floor"), s.excess)
+			assert.Equal(t, submit("calm", "retail"), s.ordinary)
+		})
+	}
+}
+
+func TestStrainedOwnerLooksAtWorkersLessOften(t *testing.T) {
+	b := newBench(t, 1)
+	assert.Equal(t, b.m.endsGather(), defaultEndsGather)
+	b.m.strain.strain = 100 * time.Millisecond
+	assert.Equal(t, b.m.endsGather(), 250*time.Millisecond)
+	b.m.strain.strain = time.Minute
+	assert.Equal(t, b.m.endsGather(), mostEndsGather)
+}
+
+// Pattern: an owner without processor time, and slow workers beside sound ones.
+func TestStrainIsThatOfTheQuickestOrder(t *testing.T) {
+	var s strainMeter
+	now := start
+	answer := func(took time.Duration) {
+		now = now.Add(20 * time.Millisecond)
+		s.answered(now, took)
+	}
+	for range 10 {
+		answer(400 * time.Millisecond)
+		answer(5 * time.Millisecond)
+	}
+	assert.Equal(t, s.strain, 5*time.Millisecond, "some workers are slow")
+	for range 20 {
+		answer(300 * time.Millisecond)
+		answer(280 * time.Millisecond)
+	}
+	assert.Equal(t, s.strain, 280*time.Millisecond, "all orders are slow")
+	s.rest(now.Add(strainRest))
+	assert.Equal(t, s.strain, time.Duration(0))
+}
+
+// Pattern: more starts than the owner has processor time for.
+func TestStrainedOwnerKeepsFewStartsUnderWay(t *testing.T) {
+	var w startWindow
+	underway := func() int {
+		w.given = 0
+		for w.open() {
+			w.given++
+		}
+		return w.given
+	}
+	assert.Equal(t, underway(), firstStarts)
+	w.adapt(strained)
+	assert.Equal(t, underway(), firstStarts*startsCut/100)
+	for range 20 {
+		w.adapt(strained)
+	}
+	assert.Equal(t, underway(), leastStarts)
+	w.adapt(0)
+	assert.Equal(t, underway(), leastStarts+startsGrowth)
+	w.bound = false
+	w.adapt(0)
+	assert.Equal(t, underway(), leastStarts+startsGrowth, "it was not full")
+}
+
+func TestStartsBeyondTheWindowWait(t *testing.T) {
+	b := newBench(t, 4)
+	b.m.window.most = 3
+	b.submit("a", oneCore(5))
+	starts := b.answerStarts(OK)
+	assert.Equal(t, len(starts), 3)
+	b.pass(backlogPeriod)
+	assert.Equal(t, len(take[StartTask](b)), 2, "the first three were answered")
+}
+
+// Pattern: jobs for all pools when the owner is what limits them.
+func TestStrainedOwnerRefusesWhatItCantServeInTime(t *testing.T) {
+	m := New(Options{})
+	spec := JobSpec{ID: "a", Queue: "plans", Pool: "pots", Steps: []StepSpec{oneCore(1)}, Slack: 1.6, TargetMs: 600}
+	m.demand = map[string]*poolDemand{"pots": {urgent: 100, reach: 1000}, "desks": {urgent: 900, reach: 1000}}
+	m.flow.rate = 100
+	_, refused := m.overloaded(&spec)
+	assert.Assert(t, !refused, "the pools have room")
+	m.strain.strain = strained
+	after, refused := m.overloaded(&spec)
+	assert.Assert(t, refused && after >= 10*time.Second)
+}
--- a/core/sched/machine.go
+++ b/core/sched/machine.go
@@ -45,6 +45,9 @@
 	replanned time.Time     // when all waiting tasks were last looked at
 	swept     time.Time     // when all workers and open jobs were last gone through
 	hasten    bool          // they are to be gone through at once
+	strain    strainMeter
+	window    startWindow
+	flow      flowMeter
 	demand    map[string]*poolDemand
 
 	// What came out since it was last taken.
@@ -67,7 +70,9 @@
 type pool struct {
 	name    string
 	waiting map[*step]bool
-	dirty   bool
+	dirty   bool      // something happened since its waiting tasks were last looked at
+	period  time.Time // since when the looks at them are counted
+	looks   int
 	running map[string]float64 // cores at work by team
 }
 
--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -340,13 +340,14 @@
 	name     string
 	machines int     // up or on their way
 	perVM    float64 // cores of a machine
-	cores    float64 // cores needed
-	need     int     // machines needed
+	need     int     // machines needed, also for work that is expected
+	present  int     // machines needed for the work that is there
 	least    int     // machines needed for what lasts
 	coming   int     // machines on their way
 	idle     []*worker
 	held     float64 // cores of lasting tasks
 	urgent   float64 // core-seconds of work that can still be in time
+	late     float64 // core-seconds of work that is late or beyond its team's share
 	reach    float64 // cores that the pool has or can get from others
 }
 
--- a/core/sched/moves.go
+++ b/core/sched/moves.go
@@ -47,16 +47,24 @@
 			continue
 		}
 		expected := m.turns.expect(now, name, float64(d.machines)*d.perVM)
-		d.cores = max(urgent[name]/workHorizon.Seconds(), expected) + late[name]/lateHorizon.Seconds() + held[name]
-		d.urgent, d.held = urgent[name], held[name]
-		d.least = max(int(math.Ceil(held[name]/(d.perVM*fillShare)))+reserveMachines, spread[name])
-		d.need = max(int(math.Ceil(d.cores/(d.perVM*fillShare)))+reserveMachines, d.least)
+		d.urgent, d.late, d.held = urgent[name], late[name], held[name]
+		there := d.held + d.late/lateHorizon.Seconds()
+		present := max(d.urgent/workHorizon.Seconds(), m.turns.trend(name).rate(now))
+		d.least = max(d.machinesFor(d.held), spread[name])
+		d.present = max(d.machinesFor(there+present), d.least)
+		d.need = max(d.machinesFor(there+max(present, expected)), d.least)
 		if stuck[name] && d.coming == 0 {
-			d.need = max(d.need, d.machines+1)
+			d.present = max(d.present, d.machines+1)
+			d.need = max(d.need, d.present)
 		}
 	}
 }
 
+// machinesFor returns how many machines the pool needs for work that takes so many cores.
+func (d *poolDemand) machinesFor(cores float64) int {
+	return int(math.Ceil(cores/(d.perVM*fillShare))) + reserveMachines
+}
+
 // late tells whether the job can't meet its objective any more, or is beyond its team's share.
 func (j *job) late(now time.Time) bool {
 	if j.spec.Excess {
@@ -69,20 +77,25 @@
 	return now.Add(chain).After(by)
 }
 
-// ration shares the machines among the pools in proportion to their needs if there are not enough, and tells whether a
-// pool lacks machines.
+// ration shares the machines among the pools if there are not enough, and tells whether a pool lacks machines. Work that
+// is there goes before work that is expected; each is served in proportion to the needs.
 func ration(demand map[string]*poolDemand) (lacking bool) {
-	needed, machines := 0, 0
+	needed, present, machines := 0, 0, 0
 	for _, d := range demand {
 		needed += d.need
+		present += d.present
 		machines += d.machines
 		lacking = lacking || d.machines < d.need
 	}
-	if needed <= machines || needed == 0 {
+	if needed <= machines {
 		return lacking
 	}
 	for _, d := range demand {
-		d.need = max(min(d.need, d.least), d.need*machines/needed)
+		if present >= machines {
+			d.need = max(min(d.present, d.least), d.present*machines/present)
+			continue
+		}
+		d.need = d.present + (d.need-d.present)*(machines-present)/(needed-present)
 	}
 	return lacking
 }
--- a/core/sched/overload.go
+++ b/core/sched/overload.go
@@ -49,20 +49,48 @@
 
 // overloaded tells whether a new job could not be done in any useful time, and when to come back.
 func (m *Machine) overloaded(spec *JobSpec) (time.Duration, bool) {
+	if spec.Lasting() || spec.Timed() {
+		return 0, false
+	}
+	if m.Strain() >= exhausted || spec.Excess && m.Strain() >= strained {
+		return retrySpread + spreadOf(spec.ID), true
+	}
 	d := m.demand[spec.Pool]
-	if d == nil || d.reach <= 0 || spec.Lasting() || spec.Timed() {
+	if d == nil || d.reach <= 0 {
 		return 0, false
 	}
-	wait := time.Duration(d.urgent / d.reach * float64(time.Second))
-	j := job{spec: spec}
-	chain := j.chain(everyStep)
-	useful := uselessFactor*(time.Duration(spec.Slack*float64(chain))+time.Duration(spec.TargetMs)*time.Millisecond) - chain
-	if spec.Excess && wait <= excessWait || !spec.Excess && wait <= useful {
+	ahead, most := d.urgent, usefulWait(spec)
+	if spec.Excess {
+		ahead, most = d.urgent+d.late, excessWait
+	}
+	wait := time.Duration(ahead / d.reach * float64(time.Second))
+	if m.Strain() >= strained && m.flow.rate > 0 {
+		// The owner is what limits all pools together.
+		wait = max(wait, time.Duration(m.urgentWork()/m.flow.rate*float64(time.Second)))
+	}
+	if wait <= most {
 		return 0, false
 	}
 	return wait + spreadOf(spec.ID), true
 }
 
+// urgentWork returns the core-seconds of all pools that can still be in time.
+func (m *Machine) urgentWork() float64 {
+	sum := 0.0
+	for _, d := range m.demand {
+		sum += d.urgent
+	}
+	return sum
+}
+
+// usefulWait returns how long a job may wait and still be of use to its caller.
+func usefulWait(spec *JobSpec) time.Duration {
+	j := job{spec: spec}
+	chain := j.chain(everyStep)
+	objective := time.Duration(spec.Slack*float64(chain)) + time.Duration(spec.TargetMs)*time.Millisecond
+	return uselessFactor*objective - chain
+}
+
 // spreadOf returns a time that differs from job to job.
 func spreadOf(id string) time.Duration {
 	h := fnv.New32a()
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -4,30 +4,60 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"mangowing/core/setup"
 )
 
 // candidate is a step with tasks that wait for workers.
 type candidate struct {
-	step *step
-	late bool      // it can't meet its objective any more, or is beyond its team's share
-	by   time.Time // latest start that meets the objective
+	step    *step
+	outlook outlook
+	by      time.Time // latest start that meets the objective
 }
 
+// outlook is whether a step's job can meet its objective.
+type outlook uint8
+
+const (
+	inTime   outlook = iota
+	doubtful         // only if its estimates are not too low
+	late             // surely not, or it is beyond its team's share
+)
+
+const (
+	// A job that was not begun can meet its objective for sure only if this share of the estimates beyond them, and so
+	// much for each step, is left: in a backlog those that wait longest would else be begun just too late, one by one.
+	estimateDoubt = 0.35
+	stepDoubt     = 120 * time.Millisecond
+)
+
+const (
+	// A pool in which tasks are left waiting is looked at so many times in this period, however many tasks end.
+	backlogPeriod = 10 * time.Millisecond
+	backlogLooks  = 3
+)
+
 // place starts waiting tasks of a pool: lasting ones first, then by priority; within one, those that can still meet
 // their objective, the teams by their shares.
 func (m *Machine) place(now time.Time, p *pool) {
-	if len(p.waiting) == 0 || !p.dirty {
+	if len(p.waiting) == 0 || !p.dirty || !m.window.open() || p.looked(now) > backlogLooks {
 		return
 	}
 	p.dirty = false
-	workers := m.usableIn(p.name, now)
-	if len(workers) == 0 {
-		return
+	if workers := m.usableIn(p, now); len(workers) > 0 {
+		for _, class := range m.candidates(now, p) {
+			m.placeClass(now, p, class, workers)
+		}
 	}
-	classes := m.candidates(now, p)
-	for _, class := range classes {
-		m.placeClass(now, p, class, workers)
+}
+
+// looked counts a look at the pool's waiting tasks, and returns how many there were in this period.
+func (p *pool) looked(now time.Time) int {
+	if now.Sub(p.period) >= backlogPeriod {
+		p.period, p.looks = now, 0
 	}
+	p.looks++
+	return p.looks
 }
 
 // candidates returns the waiting steps in classes; an earlier class goes first.
@@ -60,8 +90,20 @@
 	if j.spec.Timed() {
 		by = j.spec.Due(s.round.number).Add(j.chain(everyStep) * 2)
 	}
-	latest := by.Add(-s.chainLeft())
-	return candidate{step: s, late: now.After(latest) || j.spec.Excess, by: latest}
+	left := s.chainLeft()
+	latest := by.Add(-left)
+	c := candidate{step: s, by: latest}
+	doubt := time.Duration(0)
+	if !j.begun {
+		doubt = time.Duration(estimateDoubt*float64(left)) + time.Duration(len(j.spec.Steps))*stepDoubt
+	}
+	switch {
+	case j.spec.Excess || now.After(latest):
+		c.outlook = late
+	case now.After(latest.Add(-doubt)):
+		c.outlook = doubtful
+	}
+	return c
 }
 
 // chainLeft returns the estimated time of the longest chain of steps that are not done.
@@ -69,17 +111,13 @@
 	return s.job().chain(func(n int) bool { return !s.round.steps[n].done() })
 }
 
-// rankOf orders the classes: lasting steps, then work that can be in time by priority, then late work by priority.
+// rankOf orders the classes: lasting steps, then work that can be in time by priority, then doubtful work, then late work.
 func rankOf(c candidate) int {
-	const lateRank = 1000
-	switch {
-	case c.step.spec.Lasting:
+	const outlookRanks = 1000
+	if c.step.spec.Lasting {
 		return 0
-	case c.late:
-		return lateRank + c.step.job().spec.Priority
-	default:
-		return 1 + c.step.job().spec.Priority
 	}
+	return 1 + int(c.outlook)*outlookRanks + c.step.job().spec.Priority
 }
 
 // compareCandidates lets what was begun go first, then what must start earliest.
@@ -120,16 +158,33 @@
 	return best
 }
 
-func (m *Machine) usableIn(pool string, now time.Time) []*worker {
+// usableIn returns the pool's workers that have room for the smallest of its waiting tasks.
+func (m *Machine) usableIn(p *pool, now time.Time) []*worker {
+	least := p.leastNeeds()
 	var workers []*worker
 	for _, w := range m.byID {
-		if w.entry.Pool == pool && w.usable(now) {
+		if w.entry.Pool == p.name && least.Fits(w.free()) && w.usable(now) {
 			workers = append(workers, w)
 		}
 	}
 	return workers
 }
 
+// leastNeeds returns the least of each resource that a waiting task of the pool takes.
+func (p *pool) leastNeeds() setup.Resources {
+	var least setup.Resources
+	first := true
+	for s := range p.waiting {
+		needs := s.spec.Needs()
+		if first {
+			least, first = needs, false
+			continue
+		}
+		least = setup.Resources{CPU: min(least.CPU, needs.CPU), MemMB: min(least.MemMB, needs.MemMB), GPU: min(least.GPU, needs.GPU)}
+	}
+	return least
+}
+
 // placeStep starts as many waiting tasks of the step as there is room for.
 func (m *Machine) placeStep(now time.Time, s *step, workers []*worker) {
 	if !m.hasTickets(now, s, workers) {
@@ -146,6 +201,10 @@
 		if !m.underLimit(s, 1) {
 			return
 		}
+		if !m.window.open() {
+			m.wake(m.poolNameOf(s.job()))
+			return
+		}
 		w := m.pick(now, t, workers)
 		if w == nil {
 			if t.failures > 0 {
@@ -325,7 +384,8 @@
 // startOn records an attempt and orders it once the record is stored.
 func (m *Machine) startOn(t *task, w *worker, attempt int) {
 	id := t.id()
-	m.start(t, w, attempt)
+	m.start(t, w, attempt).underway = true
+	m.window.given++
 	w.granting++
 	m.counters.started++
 	m.emit(TaskStarted{Task: id, Attempt: attempt, Worker: w.id, Born: w.born})
--- a/core/sched/report.go
+++ b/core/sched/report.go
@@ -40,7 +40,8 @@
 type StartReport struct {
 	Order     StartTask
 	Answer    Answer
-	GrantedAt time.Time // what runs on the worker was renewed from then on
+	GrantedAt time.Time     // what runs on the worker was renewed from then on
+	Took      time.Duration // from the order to its answer
 }
 
 // StopReport answers a StopTask.
--- a/gate/feed/handover.go
+++ b/gate/feed/handover.go
@@ -15,7 +15,7 @@
 	// A gate with less than this share of the processor of the strongest one is weak.
 	weakShare = 0.75
 	// A weak gate claims the ownership this much later than others.
-	weakHandicap = 350 * time.Millisecond
+	weakHandicap = 700 * time.Millisecond
 	// A weak owner looks for a stronger gate at this pace, by calls that take no longer than the limit.
 	yieldPeriod = time.Second
 	yieldLimit  = 250 * time.Millisecond
@@ -47,6 +47,18 @@
 	return addresses
 }
 
+// weaker tells whether the gate at the address is weak beside this one.
+func (p *Peers) weaker(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, g := range p.gates {
+		if g.Address == address {
+			return g.Processor < weakShare*p.self.Processor
+		}
+	}
+	return false
+}
+
 // Yield hands the ownership to a stronger gate while this weak one has it, until the context ends.
 func (p *Peers) Yield(ctx context.Context) error {
 	owned, since, yielded := int64(0), time.Duration(0), -yieldPause
@@ -85,9 +97,10 @@
 }
 
 // handOver lets the gate at the address claim the ownership that this gate can't use, since the platform turns it away.
+// It does not hand it to a weaker gate: the others notice soon, and the strong ones of them claim first.
 func (p *Peers) handOver(ctx context.Context, address string) {
 	epoch := p.keeper.Mine()
-	if epoch == 0 || p.keeper.Away() < askPeersAfter || p.keeper.MayOrder() {
+	if epoch == 0 || p.keeper.Away() < askPeersAfter || p.keeper.MayOrder() || p.weaker(address) {
 		return
 	}
 	p.keeper.Lost("the platform turns this gate away")
--- a/gate/lead/meters.go
+++ b/gate/lead/meters.go
@@ -19,6 +19,7 @@
 	metricAttempts    = "mangowing_attempts_total"
 	metricPoolGauge   = "mangowing_pool"
 	metricHeldOrders  = "mangowing_held_orders"
+	metricStrain      = "mangowing_owner_strain_seconds"
 	metricWorkerCalls = "mangowing_worker_calls_total"
 )
 
@@ -60,6 +61,7 @@
 		}
 	}
 	setGauge(metricHeldOrders, "", float64(held))
+	setGauge(metricStrain, "", m.Strain().Seconds())
 }
 
 func setGauge(name, labels string, value float64) {
--- a/gate/lead/orders.go
+++ b/gate/lead/orders.go
@@ -63,13 +63,16 @@
 		t.held = append(t.held, o)
 		return
 	}
+	given := time.Now()
 	t.toWorker(ctx, o.Worker, sched.StartReport{Order: o, Answer: sched.Unknown}, orderLimit,
 		func(ctx context.Context, to ports.Target) sched.Report {
 			if !t.deps.Keeper.MayOrder() {
 				// The process did not run for a while between the order and here.
 				return sched.StartReport{Order: o, Answer: sched.Withdrawn}
 			}
-			return t.deps.Workers.Start(ctx, to, o, t.epoch)
+			rep := t.deps.Workers.Start(ctx, to, o, t.epoch)
+			rep.Took = time.Since(given)
+			return rep
 		})
 }
 
