Forecast turns by a cycle that outages and bursts don't break, and none without callers

Change: a time that differs from the cycle or a multiple counts when it was seen twice; multiples of the cycle are forecast; nothing is expected when no caller has called for 1.5 s.

--- a/core/sched/intake.go
+++ b/core/sched/intake.go
@@ -19,6 +19,7 @@
 
 // Submit takes a job, or says why not. A refused job may come back after the time returned.
 func (m *Machine) Submit(now time.Time, spec JobSpec) (Verdict, time.Duration) {
+	m.Called(now)
 	if _, known := m.jobs[spec.ID]; known {
 		return Repeated, 0
 	}
--- a/core/sched/load_patterns_test.go
+++ b/core/sched/load_patterns_test.go
@@ -52,7 +52,44 @@
 	p.trend("pots").peak, p.trend("pots").home, p.trend("pots").began = 300, 100, start
 	p.cycle = 16 * time.Second
 	next.fold(p.saved("pots", p.trend("pots")))
+	next.heard = start.Add(15 * time.Second)
 	assert.Assert(t, next.expect(start.Add(15*time.Second), "pots", 40) >= 300)
+	next.heard = start.Add(31 * time.Second)
+	assert.Assert(t, next.expect(start.Add(31*time.Second), "pots", 40) >= 300, "the turn between was missed")
+}
+
+// Pattern: the callers leave.
+func TestNoTurnIsExpectedWithoutCallers(t *testing.T) {
+	var p turnPlan
+	p.fold(TurnSeen{Pool: "pots", BeganMs: start.UnixMilli(), Peak: 300, Home: 100, CycleMs: 16_000})
+	now := start.Add(15 * time.Second)
+	p.heard = now.Add(-quietAfter)
+	assert.Assert(t, p.expect(now, "pots", 40) >= 300)
+	p.heard = p.heard.Add(-time.Millisecond)
+	assert.Equal(t, p.expect(now, "pots", 40), 0.0)
+}
+
+// Pattern: turns that an outage hid, and a burst between two turns.
+func TestCycleIsThatOfMostTurns(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		between  []time.Duration
+		expected time.Duration
+	}{
+		{"alike", []time.Duration{18 * time.Second, 19 * time.Second, 17 * time.Second}, 17 * time.Second},
+		{"one was hidden", []time.Duration{18 * time.Second, 36 * time.Second}, 18 * time.Second},
+		{"a burst", []time.Duration{18 * time.Second, 7 * time.Second, 11 * time.Second}, 18 * time.Second},
+		{"another rhythm", []time.Duration{18 * time.Second, 25 * time.Second, 26 * time.Second}, 26 * time.Second},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			var p turnPlan
+			for _, d := range s.between {
+				p.learnCycle(d)
+			}
+			assert.Equal(t, p.cycle, s.expected)
+		})
+	}
 }
 
 // Pattern: a hot team that sends many times its usual.
--- a/core/sched/machine.go
+++ b/core/sched/machine.go
@@ -136,6 +136,7 @@
 		w.lapse = now.Add(renewed + m.options.lapseAfter())
 	}
 	m.hasten = true
+	m.Called(now)
 }
 
 // Configure puts a configuration in force.
--- a/core/sched/turns.go
+++ b/core/sched/turns.go
@@ -30,12 +30,19 @@
 	sameTurn = 6 * time.Second
 	// Weight of a new turn's peak against those before.
 	peakWeight = 0.6
+	// Without any call of a caller for this long no turn is expected.
+	quietAfter = 1500 * time.Millisecond
+	// The time between two turns of a pool belongs to the cycle if it differs from it, or from a multiple, by less than
+	// this share.
+	cycleDoubt = 0.2
 )
 
 // turnPlan forecasts each pool's demand: pools have turns of high demand, one after the other, again and again.
 type turnPlan struct {
 	pools map[string]*poolTrend
 	cycle time.Duration // time between two turns of a pool, 0 until one had two
+	other time.Duration // the last time between two turns that did not belong to the cycle
+	heard time.Time     // when a caller last handed a job in
 }
 
 // poolTrend is how much work came to a pool lately, and what is known of its turns.
@@ -96,7 +103,7 @@
 // arrived notes that a job came.
 func (p *turnPlan) arrived(now time.Time, pool string, coreSeconds float64) {
 	t := p.trend(pool)
-	t.known = true
+	p.heard, t.known = now, true
 	t.advance(now)
 	t.buckets[t.bucket%rateBuckets] += coreSeconds
 	t.jobs[t.bucket%rateBuckets]++
@@ -135,7 +142,7 @@
 		t.turning, t.partial = true, true
 	case !t.turning && t.begins(now):
 		if !t.began.IsZero() {
-			p.cycle = lasted
+			p.learnCycle(lasted)
 		}
 		t.turning, t.partial, t.began, t.work, t.changed = true, false, now, 0, true
 	case t.turning && lasted >= shortestTurn && rate < overShare*max(t.mean(now), t.height()):
@@ -144,6 +151,27 @@
 	}
 }
 
+// learnCycle takes over the time between two turns of a pool. Turns may have been missed in an outage, and a burst may look
+// like a turn: what does not belong to the cycle counts only when it is seen twice.
+func (p *turnPlan) learnCycle(between time.Duration) {
+	turns := time.Duration(1)
+	if p.cycle > 0 {
+		turns = max(1, (between+p.cycle/2)/p.cycle)
+	}
+	switch each := between / turns; {
+	case p.cycle == 0 || alike(each, p.cycle):
+		p.cycle = each
+	case alike(between, p.other):
+		p.cycle, p.other = between, 0
+	default:
+		p.other = between
+	}
+}
+
+func alike(a, b time.Duration) bool {
+	return (a - b).Abs() <= time.Duration(cycleDoubt*float64(b))
+}
+
 // learnPeak takes over the height of a turn that was seen whole.
 func (t *poolTrend) learnPeak(now time.Time) {
 	if t.partial {
@@ -202,9 +230,13 @@
 
 // due tells whether the pool's next turn is about to begin.
 func (p *turnPlan) due(now time.Time, t *poolTrend) bool {
-	if p.cycle == 0 || t.began.IsZero() || t.turning {
+	if p.cycle == 0 || t.began.IsZero() || t.turning || now.Sub(p.heard) > quietAfter {
 		return false
 	}
-	next := t.began.Add(p.cycle)
-	return now.After(next.Add(-moveLead)) && now.Before(next.Add(missedTurn))
+	turns := (now.Sub(t.began) + moveLead) / p.cycle
+	next := t.began.Add(turns * p.cycle)
+	return turns >= 1 && now.Before(next.Add(missedTurn))
 }
+
+// Called notes that a caller handed a job in, whatever becomes of it.
+func (m *Machine) Called(now time.Time) { m.turns.heard = now }
