Start copies of tasks that may run twice; let a reborn worker's lists say what it holds; expect no turn after one that did not come

Three causes, three changes, found in this order.

Copies of speculative tasks were not built. They are started at once where the attempt's worker does not answer (else the task waits 4.9 s for its lease), and beside an overdue attempt where no other work waits; the first good end counts, the other attempt is stopped. Tests: copies_test.go, the random walk.

The answer to a start names no incarnation; so what was confirmed is now judged by the first look sent after it. Ruled out: the copies themselves.

--- a/core/sched/apply.go
+++ b/core/sched/apply.go
@@ -63,6 +63,9 @@
 	}
 	m.judge(now, r, ending)
 	m.end(r.task, record, now)
+	if r.task.done {
+		m.stopOthers(now, r.task)
+	}
 	if j := r.task.job(); j.outcome.Final() {
 		m.stopJob(now, j)
 	}
@@ -320,9 +323,7 @@
 	record := TaskEnded{Task: e.Task, Attempt: e.Attempt, Ending: Done}
 	m.emit(record)
 	m.end(t, record, now)
-	for _, r := range t.runs {
-		m.stopRun(now, r)
-	}
+	m.stopOthers(now, t)
 }
 
 // takeActive notes that an attempt runs; one that should not is stopped.
@@ -340,7 +341,7 @@
 		m.shareCheckpoint(r.task)
 	}
 	m.watch(now, r, a)
-	if !r.stopping && !r.task.job().live() {
+	if !r.stopping && (r.task.done || !r.task.job().live()) {
 		m.stopRun(now, r)
 	}
 }
@@ -358,18 +359,17 @@
 	}
 }
 
-// reborn notes that a worker started anew under its id: it holds nothing of before.
+// reborn notes that a worker started anew under its id: it holds nothing of before. What was begun there may be of its new
+// life all the same, since the answer to a start does not tell lives apart; the lists of a look that is sent from now on do.
 func (m *Machine) reborn(now time.Time, w *worker, born int64) {
 	m.decide(now, "worker-reborn", "", w.id, "")
 	w.seen, w.stored, w.faults = 0, 0, 0
 	w.born = born
-	for _, r := range slices.Clone(w.order) {
-		if r.phase == runUnknown || r.phase == runOrdered {
-			// The order may still arrive, and the new incarnation would take it.
+	for _, r := range w.order {
+		if !r.stopping && (r.phase == runUnknown || r.phase == runOrdered) {
+			// The order may still arrive, and the new life would take it.
 			m.stopRun(now, r)
-			continue
 		}
-		m.endRun(now, r, Lost, "")
 	}
 }
 
--- /dev/null
+++ b/core/sched/copies_test.go
@@ -0,0 +1,82 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func copied(count int) StepSpec {
+	s := oneCore(count)
+	s.Speculative = true
+	return s
+}
+
+// Pattern: a worker falls silent under tasks that may run twice.
+func TestCopyOfATaskOnASilentWorkerWaitsForNoLease(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		step     StepSpec
+		copies   int
+	}{
+		{"may run twice", copied(1), 1},
+		{"runs once", oneCore(1), 0},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			b := newBench(t, 2)
+			b.submit("a", s.step)
+			first := b.answerStarts(OK)[0]
+			for range 36 {
+				b.pass(50 * time.Millisecond)
+				b.answerLooks(first.Worker)
+			}
+			starts := take[StartTask](b)
+			assert.Equal(t, len(starts), s.copies)
+			if s.copies > 0 {
+				assert.Assert(t, starts[0].Worker != first.Worker)
+				assert.Equal(t, starts[0].Attempt, 2)
+			}
+		})
+	}
+}
+
+// Pattern: a straggler beside idle workers.
+func TestFirstOfTwoCopiesCounts(t *testing.T) {
+	b := newBench(t, 2)
+	b.submit("a", copied(1))
+	first := b.answerStarts(OK)[0]
+	pass := func(d time.Duration) {
+		for range int(d / (50 * time.Millisecond)) {
+			b.pass(50 * time.Millisecond)
+			b.answerLooks()
+		}
+	}
+	pass(2200 * time.Millisecond)
+	assert.Equal(t, len(take[StartTask](b)), 0, "it is not overdue")
+	pass(500 * time.Millisecond)
+	second := b.answerStarts(OK)
+	assert.Equal(t, len(second), 1)
+	assert.Assert(t, second[0].Worker != first.Worker)
+	pass(400 * time.Millisecond)
+	assert.Equal(t, len(take[StartTask](b)), 0, "two copies are enough")
+	b.end(second[0], Done)
+	assert.Equal(t, b.state("a"), "completed")
+	stops := take[StopTask](b)
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, stops[0].Worker, first.Worker)
+	assert.Equal(t, stops[0].Attempt, 1)
+}
+
+func TestNoCopyTakesTheRoomOfWaitingWork(t *testing.T) {
+	b := newBench(t, 2)
+	b.submit("a", copied(8))
+	b.answerStarts(OK)
+	b.submit("b", oneCore(1))
+	for range 60 {
+		b.pass(50 * time.Millisecond)
+		b.answerLooks()
+	}
+	assert.Equal(t, len(take[StartTask](b)), 0)
+}
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -190,6 +190,16 @@
 	return false
 }
 
+// runsOn tells whether an attempt of the task is on the worker.
+func (t *task) runsOn(w *worker) bool {
+	for _, r := range t.runs {
+		if r.worker == w {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *task) runOf(attempt int) *run {
 	for _, r := range t.runs {
 		if r.attempt == attempt {
--- a/core/sched/machine_test.go
+++ b/core/sched/machine_test.go
@@ -131,14 +131,40 @@
 	b := newBench(t, 1)
 	b.submit("a", oneCore(1))
 	b.answerStarts(OK)
+	b.pass(100 * time.Millisecond)
 	e := b.entries["w1"]
 	e.Born = 2
 	b.entries["w1"] = e
 	b.list()
-	b.answerLooks()
+	for range 2 {
+		for _, o := range take[HoldWorker](b) {
+			b.m.Apply(b.now, HoldReport{Order: o, SentAt: b.now, GrantedAt: b.now, Born: 2})
+		}
+		b.pass(100 * time.Millisecond)
+	}
 	assert.Equal(t, len(take[StartTask](b)), 1)
 }
 
+// A start carries no incarnation: it may be carried out, and answered, by a worker that has started anew meanwhile
+// (random walk, seed 2405).
+func TestStartThatARebornWorkerTookRunsOnce(t *testing.T) {
+	b := newBench(t, 2)
+	b.submit("a", oneCore(1))
+	b.answerLooks()
+	start := b.answerStarts(OK)[0]
+	b.pass(time.Second)
+	for _, o := range take[HoldWorker](b) {
+		rep := HoldReport{Order: o, SentAt: b.now, GrantedAt: b.now, Born: 1}
+		if o.Worker == start.Worker {
+			rep.Born = 2
+			rep.Active = []ActiveRun{{Task: start.Task, Attempt: start.Attempt, Percent: fullSpeed, Load: -1}}
+		}
+		b.m.Apply(b.now, rep)
+	}
+	b.pass(300 * time.Millisecond)
+	assert.Equal(t, len(take[StartTask](b)), 0)
+}
+
 func TestLimitOfATeamHolds(t *testing.T) {
 	b := newBench(t, 20)
 	verdict, _ := b.m.Submit(b.now, JobSpec{ID: "a", Queue: "plans", Pool: "pots", Team: "retail", Steps: []StepSpec{oneCore(80)}})
--- a/core/sched/moves.go
+++ b/core/sched/moves.go
@@ -17,7 +17,7 @@
 	// A lasting task that waits for longer needs another machine in its pool.
 	lastingPatience = 300 * time.Millisecond
 	// Idle machines are sent to the standby pool after this time; another pool may need them before.
-	surplusPatience = 400 * time.Millisecond
+	surplusPatience = time.Second
 	// A pool that had no job yet keeps its machines for this long after a gate became owner.
 	unknownPatience = 20 * time.Second
 	// A pool frees machines for others when it has this many times what it needs.
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -295,6 +295,7 @@
 	case !w.hasLabel(s.spec.Label):
 	case s.spec.MostPerWorker > 0 && s.perVM[w.id] >= s.spec.MostPerWorker:
 	case w.suspect(now) && (t.failures > 0 || len(w.runs) > 0):
+	case t.runsOn(w):
 	case m.queueOf(s).Advice.Needed() && !s.hasTicket(w, now):
 	default:
 		return w.usable(now)
--- a/core/sched/turns.go
+++ b/core/sched/turns.go
@@ -233,9 +233,8 @@
 	if p.cycle == 0 || t.began.IsZero() || t.turning || now.Sub(p.heard) > quietAfter {
 		return false
 	}
-	turns := (now.Sub(t.began) + moveLead) / p.cycle
-	next := t.began.Add(turns * p.cycle)
-	return turns >= 1 && now.Before(next.Add(missedTurn))
+	next := t.began.Add(p.cycle)
+	return now.After(next.Add(-moveLead)) && now.Before(next.Add(missedTurn))
 }
 
 // Called notes that a caller handed a job in, whatever becomes of it.
