Keep new tasks off workers on which tasks take twice as long as others of their step

Where a sixth of the workers is slow, most wide steps meet one.

Ruled out: copies and restarts of the slow tasks themselves. A straggler is known after twice its time, and a rerun from then on ends beyond 1.6 times the chain and 600 ms; what can be saved is what comes next, and what was begun there just before.

Change: the tasks of a step that ended well tell how long its others should take, where they are comparable (not far from data, not resumed, not gangs). A worker with one that takes twice as long and 250 ms more rests for 3 s, then gets one task at a time until one ends well; at most a third of a pool rests so. What it had just begun runs elsewhere.

--- a/core/sched/apply.go
+++ b/core/sched/apply.go
@@ -77,6 +77,7 @@
 	switch ending {
 	case Done:
 		w.faults, w.good = 0, now
+		m.timeEnd(now, r)
 	case Faulted:
 		if r.needs().Lasting && r.phase == runConfirmed && now.Sub(r.began) >= lastingSound {
 			return
--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -59,6 +59,7 @@
 		m.replanned = now
 		m.wakeAll()
 		m.rescue(now)
+		m.findSlow(now)
 		m.startCopies(now)
 	}
 }
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -114,6 +114,7 @@
 	asking   bool
 	askAgain time.Time
 	perVM    map[string]int // runs by worker
+	timing   timing
 }
 
 // ticket lets a worker run a step.
