Let tasks leave draining workers, and urgent work take the place of less urgent work

Lasting tasks on a worker that drains ended with it and waited 4.9 s for their lease; what saves its progress lost up to a checkpoint's time. And a queue's priority ordered what waits, but took no place from what runs.

Ruled out: moving all tasks off a draining worker (it often stays for many seconds, and what can't be saved may still end there).

A step that can be in time and has waited for 150 ms in a pool without room (a lasting task for 1 s) stops less urgent attempts that don't end by themselves within 600 ms, those that save their progress first, as many as it needs and not again before these have ended.

--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -60,6 +60,8 @@
 		m.wakeAll()
 		m.rescue(now)
 		m.findSlow(now)
+		m.leaveDraining(now)
+		m.preempt(now)
 		m.startCopies(now)
 	}
 }
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -236,6 +236,7 @@
 	stopping  bool
 	stopped   bool // the worker has acknowledged the stop
 	leaving   bool // its machine is about to be taken away
+	preempted bool // it was stopped for more urgent work
 	stopSent  time.Time
 	percent   int
 	load      int
--- a/core/sched/list.go
+++ b/core/sched/list.go
@@ -50,6 +50,7 @@
 	}
 	if e.Draining && !w.entry.Draining {
 		m.decide(now, "worker-drains", "", id, e.Remaining.String())
+		w.leaves = now.Add(e.Remaining)
 	}
 	w.entry = e
 	m.endEarlierLives(now, w)
--- /dev/null
+++ b/core/sched/preempt.go
@@ -0,0 +1,132 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mangowing/core/setup"
+)
+
+const (
+	// Work that waits this long in a full pool takes the place of less urgent work.
+	preemptPatience = 150 * time.Millisecond
+	// The same for a task that lasts, which gets the first room that becomes free.
+	preemptLasting = time.Second
+	// Attempts that are stopped at most in one look at a pool.
+	mostPreempted = 8
+	// An attempt that ends by itself within this time is not stopped for another.
+	preemptSpared = 600 * time.Millisecond
+)
+
+// preempt stops less urgent work in full pools, so that more urgent work that waits there can still be in time.
+func (m *Machine) preempt(now time.Time) {
+	for _, p := range m.poolOrder {
+		s := m.mostUrgent(now, p)
+		if s == nil {
+			continue
+		}
+		if len(m.usableIn(p, now)) == 0 && !m.preempting(p) {
+			m.preemptFor(now, p, s)
+		}
+	}
+}
+
+// preempting tells whether work in the pool that was stopped for other work has not ended yet.
+func (m *Machine) preempting(p *pool) bool {
+	for _, w := range m.byID {
+		if w.entry.Pool != p.name {
+			continue
+		}
+		for _, r := range w.order {
+			if r.preempted {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// mostUrgent returns the step of the highest priority that has waited for a while and can be in time, nil if there is none.
+func (m *Machine) mostUrgent(now time.Time, p *pool) *step {
+	var best *step
+	for s := range p.waiting {
+		if s.spec.Gang || !m.mayPreempt(now, s) {
+			continue
+		}
+		if best == nil || s.moreUrgent(best) {
+			best = s
+		}
+	}
+	return best
+}
+
+// mayPreempt tells whether the step's tasks have waited for long, and are worth the work that is lost.
+func (m *Machine) mayPreempt(now time.Time, s *step) bool {
+	if !s.spec.Lasting {
+		return now.Sub(s.readyAt) >= preemptPatience && m.candidateOf(now, s).outlook == inTime
+	}
+	for _, t := range s.tasks {
+		if t.waits() && now.Sub(s.readyAt) >= preemptLasting && now.Sub(t.lastRun) >= preemptLasting {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *step) moreUrgent(other *step) bool {
+	a, b := s.job().spec, other.job().spec
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.ID, b.ID), cmp.Compare(s.number, other.number)) < 0
+}
+
+// preemptFor stops as much less urgent work as the waiting tasks of the step need, what loses least first.
+func (m *Machine) preemptFor(now time.Time, p *pool, s *step) {
+	needs := s.spec.Needs()
+	wanted := min(s.waiting, mostPreempted)
+	for _, w := range m.byID {
+		if w.entry.Pool != p.name || !w.healthy() || !w.hasLabel(s.spec.Label) {
+			continue
+		}
+		free := w.free()
+		for _, r := range w.preemptible(now, s) {
+			if wanted == 0 {
+				return
+			}
+			m.decide(now, "task-preempted", r.task.id().String(), w.id, "for "+s.job().spec.ID)
+			r.preempted = true
+			m.stopRun(now, r)
+			if free = free.Plus(r.needs().Needs()); needs.Fits(free) {
+				free = free.Minus(needs)
+				wanted--
+			}
+		}
+	}
+}
+
+// preemptible returns the attempts on the worker that may be stopped for the step, if together with what is free they make
+// room for a task of it.
+func (w *worker) preemptible(now time.Time, s *step) []*run {
+	var runs []*run
+	room := w.free()
+	for _, r := range w.order {
+		if r.task.job().spec.Priority > s.job().spec.Priority && !r.stopping && r.yields(now) {
+			runs = append(runs, r)
+			room = room.Plus(r.needs().Needs())
+		}
+	}
+	if !s.spec.Needs().Fits(room) {
+		return nil
+	}
+	slices.SortStableFunc(runs, func(a, b *run) int {
+		return cmp.Or(compareBool(a.needs().Checkpoints, b.needs().Checkpoints), b.began.Compare(a.began))
+	})
+	return runs
+}
+
+// yields tells whether the attempt can be stopped for more urgent work: it neither lasts, nor belongs to a gang, nor ends
+// soon.
+func (r *run) yields(now time.Time) bool {
+	spec := r.needs()
+	endsIn := spec.Estimate() - now.Sub(r.began)
+	return r.phase == runConfirmed && !spec.Lasting && !spec.Gang && endsIn > preemptSpared && spec.Needs() != setup.Resources{}
+}
--- /dev/null
+++ b/core/sched/preempt_test.go
@@ -0,0 +1,59 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Pattern: urgent work comes to a pool that is full of long and less urgent work.
+func TestUrgentWorkTakesThePlaceOfLessUrgentWork(t *testing.T) {
+	long := oneCore(8)
+	long.EstimateMs = 20_000
+	short := oneCore(8)
+	short.EstimateMs = 700
+	scenarios := []struct {
+		testName string
+		running  StepSpec
+		priority int
+		targetMs int64
+		expected int
+	}{
+		{"less urgent", long, 1, 5000, 2},
+		{"as urgent", long, 0, 5000, 0},
+		{"less urgent, but about to end", short, 1, 5000, 0},
+		{"too late to be in time", long, 1, -500, 0},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			b := newBench(t, 2)
+			submit := func(id string, step StepSpec, priority int, targetMs int64) {
+				verdict, _ := b.m.Submit(b.now, JobSpec{
+					ID: id, Queue: "plans", Pool: "pots", Steps: []StepSpec{step}, Priority: priority, MaxAttempts: 2, Slack: 1.6,
+					TargetMs: targetMs, FirstSentMs: b.now.UnixMilli(),
+				})
+				assert.Equal(t, verdict, Accepted)
+				b.settle()
+			}
+			submit("long", s.running, s.priority, 60_000)
+			assert.Equal(t, len(b.answerStarts(OK)), 8)
+			submit("urgent", oneCore(2), 0, s.targetMs)
+			for range 8 {
+				b.pass(50 * time.Millisecond)
+				b.answerLooks()
+			}
+			stopped := map[TaskID]bool{}
+			for _, o := range take[StopTask](b) {
+				stopped[o.Task] = true
+			}
+			assert.Equal(t, len(stopped), s.expected)
+			for id := range stopped {
+				b.end(StartTask{Worker: b.m.jobs["long"].task(id).runs[0].worker.id, Task: id, Attempt: 1}, Stopped)
+			}
+			for _, o := range take[StartTask](b) {
+				assert.Equal(t, o.Task.Job, "urgent")
+			}
+		})
+	}
+}
--- a/core/sched/worker.go
+++ b/core/sched/worker.go
@@ -31,6 +31,7 @@
 	faults   int       // failed attempts since the last good one
 	faulted  time.Time // when the last attempt failed
 	good     time.Time // when the last attempt ended well
+	leaves   time.Time // a draining worker stays until then at least
 	cordoned bool      // no new tasks: the machine is about to be taken away
 	ceded    bool      // no new tasks: its pool has more machines than it needs
 }
