Name file and line of a faulty declaration, refuse a key given twice, and cut what is quoted

A key that stood twice with the same value was taken without a word, in settings also with another value (the library keeps one of equal values, and the last in settings); faults named section and key but not the file; a value of a megabyte was echoed whole.

Change: both readers ask the library for every value and refuse a second one; mango validate and apply put file and line before each fault; messages quote 80 characters, escaped, and say how long the value is.

--- a/core/config/set.go
+++ b/core/config/set.go
@@ -1,9 +1,11 @@
 package config
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -72,7 +74,7 @@
 func (s *Set) Name(section, key string, field *string, doc string) {
 	s.add(entry{section, key, *field, "a name of letters, digits and '-'", doc, true, func(v string) error {
 		if v == "" || strings.ContainsAny(v, " \t/,=[]") {
-			return fmt.Errorf("%q", v)
+			return errors.New(decl.Quoted(v))
 		}
 		*field = v
 		return nil
@@ -88,7 +90,7 @@
 				return nil
 			}
 		}
-		return fmt.Errorf("%q", v)
+		return errors.New(decl.Quoted(v))
 	}})
 }
 
@@ -96,7 +98,7 @@
 func (s *Set) Address(section, key string, field *string, doc string) {
 	s.add(entry{section, key, *field, "an IP number and a port such as 127.0.0.1:7100", doc, true, func(v string) error {
 		if _, err := netip.ParseAddrPort(v); err != nil {
-			return fmt.Errorf("%q", v)
+			return errors.New(decl.Quoted(v))
 		}
 		*field = v
 		return nil
@@ -122,7 +124,7 @@
 	s.add(entry{section, key, strconv.Itoa(*field), expected, doc, false, func(v string) error {
 		n, err := strconv.Atoi(v)
 		if err != nil || n < least || n > most {
-			return fmt.Errorf("%q", v)
+			return errors.New(decl.Quoted(v))
 		}
 		*field = n
 		return nil
@@ -135,7 +137,7 @@
 	s.add(entry{section, key, strconv.FormatFloat(*field, 'g', -1, 64), expected, doc, false, func(v string) error {
 		n, err := strconv.ParseFloat(v, 64)
 		if err != nil || !(n >= least && n <= most) {
-			return fmt.Errorf("%q", v)
+			return errors.New(decl.Quoted(v))
 		}
 		*field = n
 		return nil
@@ -148,7 +150,7 @@
 	s.add(entry{section, key, field.String(), expected, doc, false, func(v string) error {
 		d, err := time.ParseDuration(v)
 		if err != nil || d < least || d > most {
-			return fmt.Errorf("%q", v)
+			return errors.New(decl.Quoted(v))
 		}
 		*field = d
 		return nil
@@ -166,11 +168,13 @@
 
 // Parse reads the INI text, named by path in faults, into the bound fields.
 func (s *Set) Parse(path string, data []byte) error {
-	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, data)
+	file, err := ini.LoadSources(ini.LoadOptions{
+		AllowShadows: true, AllowDuplicateShadowValues: true, IgnoreInlineComment: true,
+	}, data)
 	if err != nil {
 		return &Error{[]Fault{{path, "-", "-", "no INI file: " + err.Error()}}}
 	}
-	faults := append(s.assignAll(path, file), s.unknown(path, file)...)
+	faults := slices.Concat(s.assignAll(path, file), s.unknown(path, file), twice(path, file))
 	if len(faults) > 0 {
 		return &Error{faults}
 	}
@@ -216,6 +220,19 @@
 	return faults
 }
 
+// twice returns a fault for each key that a section gives more than once.
+func twice(path string, file *ini.File) []Fault {
+	var faults []Fault
+	for _, section := range file.Sections() {
+		for _, key := range section.Keys() {
+			if len(key.ValueWithShadows()) > 1 {
+				faults = append(faults, Fault{path, section.Name(), key.Name(), "given twice"})
+			}
+		}
+	}
+	return faults
+}
+
 // Reference returns the settings as a Markdown table.
 func (s *Set) Reference() string {
 	var b strings.Builder
--- a/core/config/set_test.go
+++ b/core/config/set_test.go
@@ -54,6 +54,7 @@
 		{"number out of range", soundSettings + "[traffic]\nslots = 65\n", []string{`f.ini: [traffic] slots: "65": expected a whole number from 1 to 64`}},
 		{"duration without a unit", soundSettings + "[traffic]\nwait = 5\n", []string{`f.ini: [traffic] wait: "5": expected a duration from 1ms to 1m0s`}},
 		{"unknown key", soundSettings + "[traffic]\nslot = 5\n", []string{"f.ini: [traffic] slot: unknown, the nearest known one is [traffic] slots"}},
+		{"key given twice, with the same value", soundSettings + "[traffic]\nslots = 5\nslots = 5\n", []string{"f.ini: [traffic] slots: given twice"}},
 		{"key in the wrong section", soundSettings + "[trafic]\nslots = 5\n", []string{"f.ini: [trafic] slots: unknown, the nearest known one is [traffic] slots"}},
 	}
 	for _, s := range scenarios {
--- a/core/decl/compile.go
+++ b/core/decl/compile.go
@@ -159,7 +159,7 @@
 	}
 	for _, team := range q.teams {
 		if _, ok := c.cfg.teams[team]; !ok {
-			c.fault("queue "+q.name, "teams", "team %q is not declared", team)
+			c.fault("queue "+q.name, "teams", "team %s is not declared", Quoted(team))
 		}
 	}
 	if _, ok := c.cfg.teams[OpenTeam]; q.open && !ok {
@@ -169,7 +169,7 @@
 
 func (c *compiler) needPool(section, key, pool string) {
 	if _, ok := c.cfg.pools[pool]; !ok {
-		c.fault(section, key, "pool %q is not declared", pool)
+		c.fault(section, key, "pool %s is not declared", Quoted(pool))
 	}
 }
 
@@ -198,11 +198,11 @@
 	var first, last int
 	closing := strings.IndexByte(item, ']')
 	if closing < open {
-		return nil, fmt.Errorf("%q: expected a range such as name-[01-10]", item)
+		return nil, fmt.Errorf("%s: expected a range such as name-[01-10]", Quoted(item))
 	}
 	low, high, ok := strings.Cut(item[open+1:closing], "-")
 	if !ok || scanInt(low, &first) != nil || scanInt(high, &last) != nil || last < first || last-first >= maxRange {
-		return nil, fmt.Errorf("%q: expected a range such as name-[01-10]", item)
+		return nil, fmt.Errorf("%s: expected a range such as name-[01-10]", Quoted(item))
 	}
 	var out []string
 	for n := first; n <= last; n++ {
--- a/core/decl/ini_helper.go
+++ b/core/decl/ini_helper.go
@@ -51,7 +51,9 @@
 
 // ReadINI returns the sections of one INI text; a section's heading is its kind and its name.
 func ReadINI(data []byte) ([]record.Object, error) {
-	file, err := ini.LoadSources(ini.LoadOptions{AllowNonUniqueSections: true, AllowShadows: true, IgnoreInlineComment: true}, data)
+	file, err := ini.LoadSources(ini.LoadOptions{
+		AllowNonUniqueSections: true, AllowShadows: true, AllowDuplicateShadowValues: true, IgnoreInlineComment: true,
+	}, data)
 	if err != nil {
 		return nil, err
 	}
@@ -59,7 +61,7 @@
 	for _, section := range file.Sections() {
 		if section.Name() == ini.DefaultSection {
 			if len(section.Keys()) > 0 {
-				return nil, fmt.Errorf("key %q stands before the first section", section.Keys()[0].Name())
+				return nil, fmt.Errorf("key %s stands before the first section", Quoted(section.Keys()[0].Name()))
 			}
 			continue
 		}
--- a/core/decl/reader.go
+++ b/core/decl/reader.go
@@ -80,7 +80,7 @@
 	}
 	var n int
 	if err := scanInt(v, &n); err != nil || n < least {
-		r.compiler.fault(r.section, key, "%q: expected a whole number of at least %d", v, least)
+		r.compiler.fault(r.section, key, "%s: expected a whole number of at least %d", Quoted(v), least)
 	}
 	return n
 }
@@ -99,7 +99,7 @@
 	}
 	f, err := strconv.ParseFloat(v, 64)
 	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) || f < 0 {
-		r.compiler.fault(r.section, key, "%q: expected a number of at least 0", v)
+		r.compiler.fault(r.section, key, "%s: expected a number of at least 0", Quoted(v))
 	}
 	return f
 }
@@ -114,7 +114,7 @@
 	case v == "no":
 		return false
 	}
-	r.compiler.fault(r.section, key, "%q: expected yes or no", v)
+	r.compiler.fault(r.section, key, "%s: expected yes or no", Quoted(v))
 	return fallback
 }
 
@@ -125,7 +125,7 @@
 	}
 	d, err := time.ParseDuration(v)
 	if err != nil || d <= 0 {
-		r.compiler.fault(r.section, key, "%q: expected a duration such as 250ms, 30s or 4h", v)
+		r.compiler.fault(r.section, key, "%s: expected a duration such as 250ms, 30s or 4h", Quoted(v))
 	}
 	return d
 }
@@ -140,7 +140,7 @@
 			return v
 		}
 	}
-	r.compiler.fault(r.section, key, "%q: expected one of %s", v, strings.Join(choices, ", "))
+	r.compiler.fault(r.section, key, "%s: expected one of %s", Quoted(v), strings.Join(choices, ", "))
 	return fallback
 }
 
@@ -165,7 +165,7 @@
 	}
 	d, err := parseTimeOfDay(v)
 	if err != nil {
-		r.compiler.fault(r.section, key, "%q: expected a time of day such as 05:30", v)
+		r.compiler.fault(r.section, key, "%s: expected a time of day such as 05:30", Quoted(v))
 	}
 	return d, true
 }
@@ -177,7 +177,7 @@
 		start, err1 := parseTimeOfDay(from)
 		end, err2 := parseTimeOfDay(to)
 		if !ok || err1 != nil || err2 != nil {
-			r.compiler.fault(r.section, key, "%q: expected spans such as 05:00-13:00, UTC", item)
+			r.compiler.fault(r.section, key, "%s: expected spans such as 05:00-13:00, UTC", Quoted(item))
 			continue
 		}
 		out = append(out, Window{start, end})
--- a/core/survey/answers.go
+++ b/core/survey/answers.go
@@ -51,7 +51,7 @@
 func (a Answers) Faults() []string {
 	var out []string
 	if !isName(a.team) {
-		out = append(out, fmt.Sprintf("%q: expected a team's name of letters, digits, '-' and '_'", a.team))
+		out = append(out, fmt.Sprintf("%s: expected a team's name of letters, digits, '-' and '_'", decl.Quoted(a.team)))
 	}
 	for _, q := range questions {
 		if err := q.Check(a.values[q.key]); err != nil {
--- a/core/survey/question.go
+++ b/core/survey/question.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"mangowing/core/decl"
 )
 
 // Keys of the questions, in the order in which they are asked.
@@ -51,7 +53,7 @@
 	if text == "" && q.optional || text != "" && q.check(text) {
 		return nil
 	}
-	return fmt.Errorf("%q: expected %s", text, q.expected)
+	return fmt.Errorf("%s: expected %s", decl.Quoted(text), q.expected)
 }
 
 var questions = []Question{
--- a/mango/cmds/declarations.go
+++ b/mango/cmds/declarations.go
@@ -76,17 +76,21 @@
 	if err != nil {
 		return nil, &faultsError{err.Error()}
 	}
-	return objects, checked(objects)
+	origins, err := decl.Locate(dir)
+	if err != nil {
+		return nil, &faultsError{err.Error()}
+	}
+	return objects, checked(objects, origins)
 }
 
-func checked(objects []record.Object) error {
+func checked(objects []record.Object, origins decl.Origins) error {
 	_, faults := decl.Compile(objects)
 	if len(faults) == 0 {
 		return nil
 	}
 	lines := []string{fmt.Sprintf("%d faults, nothing was changed", len(faults))}
 	for _, f := range faults {
-		lines = append(lines, "  "+f.String())
+		lines = append(lines, strings.TrimRight("  "+origins.Of(f), " ")+"  "+f.String())
 	}
 	return &faultsError{strings.Join(lines, "\n")}
 }
--- a/mango/cmds/team.go
+++ b/mango/cmds/team.go
@@ -9,6 +9,7 @@
 
 	"github.com/spf13/cobra"
 
+	"mangowing/core/decl"
 	"mangowing/core/record"
 	"mangowing/core/survey"
 	"mangowing/mango/delta"
@@ -228,7 +229,7 @@
 	if err != nil {
 		return &faultsError{err.Error()}
 	}
-	if err := checked(wanted); err != nil {
+	if err := checked(wanted, decl.Origins{}); err != nil {
 		return err
 	}
 	if err := s.print(show.NewDifferences(delta.Compare(old, wanted))); err != nil {
