Split the scheduler's and the term's large files by job; one table of decoders for records

Cause: apply.go, place.go, machines.go, moves.go, record.go and term.go each did several jobs, and a new record had three switches to extend. A comparison of all lines before and after shows that only the record tags and the decoders changed. Tests of core/sched, gate and stand: green.

--- /dev/null
+++ b/core/sched/codec.go
@@ -0,0 +1,72 @@
+package sched
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+// codecVersion is the first byte of every encoded record.
+const codecVersion = 1
+
+// tag tells the kinds of records apart in their encoded form; those that are on a journal keep their number.
+type tag uint8
+
+const (
+	tagJobAccepted tag = iota + 1
+	tagJobCancelled
+	tagTaskStarted
+	tagTaskEnded
+	tagInboxRead
+	tagSnapshotBegun
+	tagJobSaved
+	tagSnapshotEnded
+	tagWaveSeen
+	tagMachineServed
+	tagTurnSeen
+	tagServiceOrdered
+)
+
+// decoders reads the records of each kind.
+var decoders = map[tag]func(body []byte) (Record, error){
+	tagJobAccepted:    decodeAs[JobAccepted],
+	tagJobCancelled:   decodeAs[JobCancelled],
+	tagTaskStarted:    decodeAs[TaskStarted],
+	tagTaskEnded:      decodeAs[TaskEnded],
+	tagInboxRead:      decodeAs[InboxRead],
+	tagSnapshotBegun:  decodeAs[SnapshotBegun],
+	tagJobSaved:       decodeAs[JobSaved],
+	tagSnapshotEnded:  decodeAs[SnapshotEnded],
+	tagWaveSeen:       decodeAs[WaveSeen],
+	tagMachineServed:  decodeAs[MachineServed],
+	tagTurnSeen:       decodeAs[TurnSeen],
+	tagServiceOrdered: decodeAs[ServiceOrdered],
+}
+
+// Encode returns the record's compact binary form.
+func Encode(r Record) ([]byte, error) {
+	body, err := cbor.Marshal(r)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode a record")
+	}
+	return append([]byte{codecVersion, byte(r.record())}, body...), nil
+}
+
+// Decode reads a record's binary form; the error says what is wrong with it.
+func Decode(b []byte) (Record, error) {
+	if len(b) < 2 || b[0] != codecVersion {
+		return nil, eris.Errorf("record of %d bytes has no known codec version", len(b))
+	}
+	decode, known := decoders[tag(b[1])]
+	if !known {
+		return nil, eris.Errorf("record has the unknown tag %d", b[1])
+	}
+	return decode(b[2:])
+}
+
+func decodeAs[R Record](body []byte) (Record, error) {
+	var r R
+	if err := cbor.Unmarshal(body, &r); err != nil {
+		return nil, eris.Wrap(err, "decode a record")
+	}
+	return r, nil
+}
--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -1,11 +1,8 @@
 package sched
 
 import (
-	"cmp"
 	"slices"
 	"time"
-
-	"mangowing/core/setup"
 )
 
 const (
@@ -335,52 +332,6 @@
 	}
 }
 
-// poolDemand is what a pool has and needs.
-type poolDemand struct {
-	name     string
-	machines int     // up or on their way
-	perVM    float64 // cores of a machine
-	need     int     // machines needed, also for work that is expected
-	present  int     // machines needed for the work that is there
-	least    int     // machines needed for what lasts
-	coming   int     // machines on their way
-	idle     []*worker
-	held     float64 // cores of lasting tasks
-	urgent   float64 // core-seconds of work that can still be in time
-	late     float64 // core-seconds of work that is late or beyond its team's share
-	reach    float64 // cores that the pool has or can get from others
-}
-
-// measureDemand compares what each pool has with what its work needs.
-func (m *Machine) measureDemand(now time.Time, byMachine map[string]*worker) map[string]*poolDemand {
-	demand := map[string]*poolDemand{}
-	for _, name := range m.cfg.Pools() {
-		demand[name] = &poolDemand{name: name}
-	}
-	for _, id := range sortedIDs(m.machines) {
-		h := m.machines[id]
-		pool := cmp.Or(h.heading, h.entry.Pool)
-		d, found := demand[pool]
-		if !found || h.entry.State == MachineDown && h.heading == "" {
-			continue
-		}
-		if h.heading != "" {
-			d.coming++
-		}
-		w := byMachine[id]
-		if w == nil || w.healthy() || now.Sub(w.listedAt) < joinMargin {
-			d.machines++
-		}
-		d.perVM = max(d.perVM, setup.Resources{CPU: h.entry.Capacity.CPU, GPU: h.entry.Capacity.GPU}.Cores())
-		if w != nil && h.heading == "" && h.serving == 0 && w.idle() && !w.cordoned && w.entry.Pool == pool {
-			d.idle = append(d.idle, w)
-		}
-	}
-	m.measureNeeds(now, demand)
-	m.saveTurns()
-	return demand
-}
-
 func sortedIDs(machines map[string]*machine) []string {
 	ids := make([]string, 0, len(machines))
 	for id := range machines {
--- a/core/sched/moves.go
+++ b/core/sched/moves.go
@@ -26,80 +26,6 @@
 	reserveMachines = 1
 )
 
-// measureNeeds fills in how many machines each pool needs.
-func (m *Machine) measureNeeds(now time.Time, demand map[string]*poolDemand) {
-	urgent, late, held := map[string]float64{}, map[string]float64{}, map[string]float64{}
-	spread, stuck := map[string]int{}, map[string]bool{}
-	for j := range m.open {
-		pool := m.poolNameOf(j)
-		batch, lasting := workLeft(j)
-		if j.late(now) {
-			late[pool] += batch
-		} else {
-			urgent[pool] += batch
-		}
-		held[pool] += lasting
-		spread[pool] = max(spread[pool], workersFor(j))
-		stuck[pool] = stuck[pool] || lastingWaits(now, j)
-	}
-	for name, d := range demand {
-		if pool, declared := m.cfg.Pool(name); declared && pool.Standby || d.perVM == 0 {
-			continue
-		}
-		expected := m.turns.expect(now, name, float64(d.machines)*d.perVM)
-		d.urgent, d.late, d.held = urgent[name], late[name], held[name]
-		there := d.held + d.late/lateHorizon.Seconds()
-		present := max(d.urgent/workHorizon.Seconds(), m.turns.trend(name).rate(now))
-		d.least = max(d.machinesFor(d.held), spread[name])
-		d.present = max(d.machinesFor(there+present), d.least)
-		d.need = max(d.machinesFor(there+max(present, expected)), d.least)
-		if stuck[name] && d.coming == 0 {
-			d.present = max(d.present, d.machines+1)
-			d.need = max(d.need, d.present)
-		}
-	}
-}
-
-// machinesFor returns how many machines the pool needs for work that takes so many cores.
-func (d *poolDemand) machinesFor(cores float64) int {
-	return int(math.Ceil(cores/(d.perVM*fillShare))) + reserveMachines
-}
-
-// late tells whether the job can't meet its objective any more, or is beyond its team's share.
-func (j *job) late(now time.Time) bool {
-	if j.spec.Excess {
-		return true
-	}
-	by, chain := j.objective()
-	if j.begun {
-		chain /= 2
-	}
-	return now.Add(chain).After(by)
-}
-
-// ration shares the machines among the pools if there are not enough, and tells whether a pool lacks machines. Work that
-// is there goes before work that is expected; each is served in proportion to the needs.
-func ration(demand map[string]*poolDemand) (lacking bool) {
-	needed, present, machines := 0, 0, 0
-	for _, d := range demand {
-		needed += d.need
-		present += d.present
-		machines += d.machines
-		lacking = lacking || d.machines < d.need
-	}
-	if needed <= machines {
-		return lacking
-	}
-	for _, d := range demand {
-		if present >= machines {
-			d.need = max(min(d.present, d.least), d.present*machines/present)
-			continue
-		}
-		d.need = d.present + (d.need-d.present)*(machines-present)/(needed-present)
-	}
-	return lacking
-}
-
 // cede keeps new tasks off the workers that a pool can do without, those with the least work first, so that they are idle
 // soon.
 func (m *Machine) cede(standby string, demand map[string]*poolDemand, lacking bool) {
@@ -145,57 +71,6 @@
 	return !t.surplus.IsZero() && now.Sub(t.surplus) >= surplusPatience
 }
 
-// workLeft returns the core-seconds of a job's undone tasks that end by themselves, and the cores of those that last.
-func workLeft(j *job) (batch, lasting float64) {
-	for _, r := range j.rounds {
-		for _, s := range r.steps {
-			if s.done() {
-				continue
-			}
-			cores := s.spec.Needs().Cores()
-			if s.spec.Lasting {
-				lasting += float64(s.spec.Count) * cores
-				continue
-			}
-			batch += (float64(s.waiting) + float64(s.undone-s.waiting)/2) * cores * s.spec.Estimate().Seconds()
-		}
-	}
-	return batch, lasting
-}
-
-// lastingWaits tells whether a lasting task of the job has waited for a worker for a while.
-func lastingWaits(now time.Time, j *job) bool {
-	for _, r := range j.rounds {
-		for _, s := range r.steps {
-			if !s.spec.Lasting || s.waiting == 0 {
-				continue
-			}
-			for _, t := range s.tasks {
-				if t.waits() && now.Sub(t.lastRun) > lastingPatience && now.Sub(s.readyAt) > lastingPatience {
-					return true
-				}
-			}
-		}
-	}
-	return false
-}
-
-// workersFor returns over how many workers the job's lasting steps have to be spread.
-func workersFor(j *job) int {
-	n := 0
-	for i := range j.spec.Steps {
-		spec := &j.spec.Steps[i]
-		if !spec.Lasting {
-			continue
-		}
-		n = max(n, min(spec.Count, lastingWorkers))
-		if spec.MostPerWorker > 0 {
-			n = max(n, (spec.Count+spec.MostPerWorker-1)/spec.MostPerWorker)
-		}
-	}
-	return n
-}
-
 // planMoves sends machines to the pools that lack them: idle ones of the standby pool first, then idle ones of pools that
 // have too many, and sends those that nobody needs to the standby pool.
 func (m *Machine) planMoves(now time.Time, byMachine map[string]*worker, demand map[string]*poolDemand) {
--- /dev/null
+++ b/core/sched/pick.go
@@ -0,0 +1,129 @@
+package sched
+
+import (
+	"cmp"
+	"time"
+)
+
+// underLimit tells whether the step's team may have so many more tasks running.
+func (m *Machine) underLimit(s *step, tasks int) bool {
+	name := s.job().spec.Team
+	t, declared := m.cfg.Team(name)
+	if !declared {
+		return true
+	}
+	used := m.teamOf(name).used
+	uses := s.spec.Uses()
+	for range tasks {
+		used = used.Plus(uses)
+	}
+	return within(used.CPU, t.Limit.CPU) && within(used.MemMB, t.Limit.MemMB) && within(used.GPU, t.Limit.GPU)
+}
+
+func within(used, limit int) bool { return limit == 0 || used <= limit }
+
+// pick returns the best worker for a task, nil if none has room.
+func (m *Machine) pick(now time.Time, t *task, workers []*worker) *worker {
+	var best *worker
+	s := t.step
+	needs := s.spec.Needs()
+	for _, w := range workers {
+		if !needs.Fits(w.free()) || !m.suits(now, t, w) {
+			continue
+		}
+		if best == nil || m.better(t, w, best) {
+			best = w
+		}
+	}
+	return best
+}
+
+func (m *Machine) suits(now time.Time, t *task, w *worker) bool {
+	s := t.step
+	switch {
+	case !w.hasLabel(s.spec.Label):
+	case s.spec.MostPerWorker > 0 && s.perVM[w.id] >= s.spec.MostPerWorker:
+	case w.suspect(now) && (t.failures > 0 || len(w.runs) > 0):
+	case t.runsOn(w):
+	case m.queueOf(s).Advice.Needed() && !s.hasTicket(w, now):
+	default:
+		return w.usable(now)
+	}
+	return false
+}
+
+// spread returns how many tasks of a lasting step should run on a worker at most, so that the loss of one is bearable.
+func (s *step) spread() int {
+	return max(1, (s.spec.Count+lastingWorkers-1)/lastingWorkers)
+}
+
+// better prefers a worker that the task has not failed on, then the data's rack, then a rack that the step runs on
+// already, then sound workers, then the fullest.
+func (m *Machine) better(t *task, a, b *worker) bool {
+	s := t.step
+	order := cmp.Or(
+		compareBool(t.avoid != a.id, t.avoid != b.id),
+		compareBool(s.nearData(a), s.nearData(b)),
+		compareBool(s.sharesRack(a), s.sharesRack(b)),
+		cmp.Compare(a.faults, b.faults),
+		m.compareLoad(s, a, b),
+	)
+	return order < 0
+}
+
+// compareLoad fills workers up with ordinary work; tasks that fill go where the fewest serving tasks run.
+func (m *Machine) compareLoad(s *step, a, b *worker) int {
+	if s.spec.Fills || s.spec.Lasting {
+		return cmp.Or(
+			cmp.Compare(a.clash(s.spec), b.clash(s.spec)),
+			compareBool(s.perVM[a.id] < s.spread(), s.perVM[b.id] < s.spread()),
+			compareBool(a.lasting(), b.lasting()),
+			cmp.Compare(b.free().CPU, a.free().CPU),
+		)
+	}
+	return cmp.Compare(a.free().CPU, b.free().CPU)
+}
+
+// clash counts the runs that a new task of the step would disturb or be disturbed by.
+func (w *worker) clash(spec *StepSpec) int {
+	n := 0
+	for _, r := range w.order {
+		other := r.needs()
+		if spec.Fills && other.Serves() || spec.Serves() && other.Fills {
+			n += 2
+		}
+		if spec.Fills && other.Fills || spec.Serves() && other.Serves() {
+			n++
+		}
+	}
+	return n
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
+func (s *step) nearData(w *worker) bool {
+	return s.spec.Rack != "" && w.hasLabel(s.spec.Rack)
+}
+
+func (s *step) sharesRack(w *worker) bool {
+	if !s.spec.RackLocal {
+		return false
+	}
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			if r.worker.entry.Rack() == w.entry.Rack() {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/sched/queueing.go
@@ -0,0 +1,115 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// candidate is a step with tasks that wait for workers.
+type candidate struct {
+	step    *step
+	outlook outlook
+	by      time.Time // latest start that meets the objective
+}
+
+// outlook is whether a step's job can meet its objective.
+type outlook uint8
+
+const (
+	inTime   outlook = iota
+	doubtful         // only if its estimates are not too low
+	late             // surely not, or it is beyond its team's share
+)
+
+const (
+	// A job that was not begun can meet its objective for sure only if this share of the estimates beyond them, and so
+	// much for each step, is left: in a backlog those that wait longest would else be begun just too late, one by one.
+	estimateDoubt = 0.35
+	stepDoubt     = 120 * time.Millisecond
+)
+
+const (
+	// A pool in which tasks are left waiting is looked at so many times in this period, however many tasks end.
+	backlogPeriod = 10 * time.Millisecond
+	backlogLooks  = 3
+)
+
+// place starts waiting tasks of a pool: lasting ones first, then by priority; within one, those that can still meet
+// their objective, the teams by their shares.
+func (m *Machine) place(now time.Time, p *pool) {
+	if len(p.waiting) == 0 || !p.dirty || !m.window.open() || p.looked(now) > backlogLooks {
+		return
+	}
+	p.dirty = false
+	if workers := m.usableIn(p, now); len(workers) > 0 {
+		for _, class := range m.candidates(now, p) {
+			m.placeClass(now, p, class, workers)
+		}
+	}
+}
+
+// candidates returns the waiting steps in classes; an earlier class goes first.
+func (m *Machine) candidates(now time.Time, p *pool) [][]candidate {
+	byRank := map[int][]candidate{}
+	for s := range p.waiting {
+		c := m.candidateOf(now, s)
+		rank := rankOf(c)
+		byRank[rank] = append(byRank[rank], c)
+	}
+	ranks := make([]int, 0, len(byRank))
+	for rank, class := range byRank {
+		ranks = append(ranks, rank)
+		slices.SortFunc(class, compareCandidates)
+	}
+	slices.Sort(ranks)
+	classes := make([][]candidate, 0, len(ranks))
+	for _, rank := range ranks {
+		classes = append(classes, byRank[rank])
+	}
+	return classes
+}
+
+func (m *Machine) candidateOf(now time.Time, s *step) candidate {
+	j := s.job()
+	if s.spec.Lasting {
+		return candidate{step: s, by: s.readyAt}
+	}
+	by, _ := j.objective()
+	if j.spec.Timed() {
+		by = j.spec.Due(s.round.number).Add(j.chain(everyStep) * 2)
+	}
+	left := s.chainLeft()
+	latest := by.Add(-left)
+	c := candidate{step: s, by: latest}
+	doubt := time.Duration(0)
+	if !j.begun {
+		doubt = time.Duration(estimateDoubt*float64(left)) + time.Duration(len(j.spec.Steps))*stepDoubt
+	}
+	switch {
+	case j.spec.Excess || now.After(latest):
+		c.outlook = late
+	case now.After(latest.Add(-doubt)):
+		c.outlook = doubtful
+	}
+	return c
+}
+
+// chainLeft returns the estimated time of the longest chain of steps that are not done.
+func (s *step) chainLeft() time.Duration {
+	return s.job().chain(func(n int) bool { return !s.round.steps[n].done() })
+}
+
+// rankOf orders the classes: lasting steps, then work that can be in time by priority, then doubtful work, then late work.
+func rankOf(c candidate) int {
+	const outlookRanks = 1000
+	if c.step.spec.Lasting {
+		return 0
+	}
+	return 1 + int(c.outlook)*outlookRanks + c.step.job().spec.Priority
+}
+
+// compareCandidates lets what was begun go first, then what must start earliest.
+func compareCandidates(a, b candidate) int {
+	return cmp.Or(a.by.Compare(b.by), cmp.Compare(a.step.job().spec.ID, b.step.job().spec.ID), cmp.Compare(a.step.round.number, b.step.round.number), cmp.Compare(a.step.number, b.step.number))
+}
--- a/core/sched/record.go
+++ b/core/sched/record.go
@@ -1,17 +1,9 @@
 package sched
 
-import (
-	"github.com/fxamacker/cbor/v2"
-	"github.com/rotisserie/eris"
-)
-
-// codecVersion is the first byte of every encoded record.
-const codecVersion = 1
-
 // Record is a fact that lasts: JobAccepted, JobCancelled, TaskStarted, TaskEnded, InboxRead, WaveSeen, ServiceOrdered,
 // MachineServed, TurnSeen, SnapshotBegun, JobSaved or SnapshotEnded.
 type Record interface {
-	record()
+	record() tag
 }
 
 // JobAccepted says that a job was taken; the first one of an id counts.
@@ -122,116 +114,15 @@
 	Jobs int
 }
 
-func (JobAccepted) record()    {}
-func (JobCancelled) record()   {}
-func (TaskStarted) record()    {}
-func (TaskEnded) record()      {}
-func (InboxRead) record()      {}
-func (WaveSeen) record()       {}
-func (MachineServed) record()  {}
-func (TurnSeen) record()       {}
-func (ServiceOrdered) record() {}
-func (SnapshotBegun) record()  {}
-func (JobSaved) record()       {}
-func (SnapshotEnded) record()  {}
-
-// tag tells the kinds of records apart in their encoded form.
-type tag uint8
-
-const (
-	tagJobAccepted tag = iota + 1
-	tagJobCancelled
-	tagTaskStarted
-	tagTaskEnded
-	tagInboxRead
-	tagSnapshotBegun
-	tagJobSaved
-	tagSnapshotEnded
-	tagWaveSeen
-	tagMachineServed
-	tagTurnSeen
-	tagServiceOrdered
-)
-
-// Encode returns the record's compact binary form.
-func Encode(r Record) ([]byte, error) {
-	body, err := cbor.Marshal(r)
-	if err != nil {
-		return nil, eris.Wrap(err, "encode a record")
-	}
-	return append([]byte{codecVersion, byte(tagOf(r))}, body...), nil
-}
-
-func tagOf(r Record) tag {
-	switch r.(type) {
-	case JobAccepted:
-		return tagJobAccepted
-	case JobCancelled:
-		return tagJobCancelled
-	case TaskStarted:
-		return tagTaskStarted
-	case TaskEnded:
-		return tagTaskEnded
-	case InboxRead:
-		return tagInboxRead
-	case SnapshotBegun:
-		return tagSnapshotBegun
-	case JobSaved:
-		return tagJobSaved
-	case SnapshotEnded:
-		return tagSnapshotEnded
-	case WaveSeen:
-		return tagWaveSeen
-	case MachineServed:
-		return tagMachineServed
-	case TurnSeen:
-		return tagTurnSeen
-	case ServiceOrdered:
-		return tagServiceOrdered
-	default:
-		return 0
-	}
-}
-
-// Decode reads a record's binary form; the error says what is wrong with it.
-func Decode(b []byte) (Record, error) {
-	if len(b) < 2 || b[0] != codecVersion {
-		return nil, eris.Errorf("record of %d bytes has no known codec version", len(b))
-	}
-	switch tag(b[1]) {
-	case tagJobAccepted:
-		return decodeAs[JobAccepted](b[2:])
-	case tagJobCancelled:
-		return decodeAs[JobCancelled](b[2:])
-	case tagTaskStarted:
-		return decodeAs[TaskStarted](b[2:])
-	case tagTaskEnded:
-		return decodeAs[TaskEnded](b[2:])
-	case tagInboxRead:
-		return decodeAs[InboxRead](b[2:])
-	case tagSnapshotBegun:
-		return decodeAs[SnapshotBegun](b[2:])
-	case tagJobSaved:
-		return decodeAs[JobSaved](b[2:])
-	case tagSnapshotEnded:
-		return decodeAs[SnapshotEnded](b[2:])
-	case tagWaveSeen:
-		return decodeAs[WaveSeen](b[2:])
-	case tagMachineServed:
-		return decodeAs[MachineServed](b[2:])
-	case tagTurnSeen:
-		return decodeAs[TurnSeen](b[2:])
-	case tagServiceOrdered:
-		return decodeAs[ServiceOrdered](b[2:])
-	default:
-		return nil, eris.Errorf("record has the unknown tag %d", b[1])
-	}
-}
-
-func decodeAs[R Record](body []byte) (Record, error) {
-	var r R
-	if err := cbor.Unmarshal(body, &r); err != nil {
-		return nil, eris.Wrap(err, "decode a record")
-	}
-	return r, nil
-}
+func (JobAccepted) record() tag    { return tagJobAccepted }
+func (JobCancelled) record() tag   { return tagJobCancelled }
+func (TaskStarted) record() tag    { return tagTaskStarted }
+func (TaskEnded) record() tag      { return tagTaskEnded }
+func (InboxRead) record() tag      { return tagInboxRead }
+func (WaveSeen) record() tag       { return tagWaveSeen }
+func (MachineServed) record() tag  { return tagMachineServed }
+func (TurnSeen) record() tag       { return tagTurnSeen }
+func (ServiceOrdered) record() tag { return tagServiceOrdered }
+func (SnapshotBegun) record() tag  { return tagSnapshotBegun }
+func (JobSaved) record() tag       { return tagJobSaved }
+func (SnapshotEnded) record() tag  { return tagSnapshotEnded }
--- /dev/null
+++ b/gate/lead/answers.go
@@ -0,0 +1,98 @@
+package lead
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"mangowing/core/codes"
+	"mangowing/core/sched"
+)
+
+const (
+	// An append without an answer for this long means that the log is away.
+	storeAwayAfter = 700 * time.Millisecond
+	// Callers come back this much later while the log is away.
+	storeAwayRetry = 2 * time.Second
+	// A job that is not known was accepted by nobody, if the inbox was read this lately.
+	inboxDoubt = 2 * time.Second
+)
+
+// handle serves a call of the intake.
+func (t *term) handle(now time.Time, c call) {
+	switch c := c.(type) {
+	case submitCall:
+		t.submit(now, c)
+	case cancelCall:
+		if !t.machine.Cancel(now, c.id) {
+			c.reply <- t.unknown(now)
+			return
+		}
+		t.replies = append(t.replies, reply{c.reply, Answer{}})
+	case stateCall:
+		state, known := t.machine.State(c.id)
+		if !known {
+			c.reply <- t.unknown(now)
+			return
+		}
+		c.reply <- Answer{state: state}
+	case pendingCall:
+		c.reply <- Answer{count: t.machine.Pending(c.queue)}
+	}
+}
+
+// unknown answers for a job that is not on the journal. While the inbox may hold it, the call is to be made again.
+func (t *term) unknown(now time.Time) Answer {
+	if now.Sub(t.inboxRead) > inboxDoubt {
+		return Refuse(codes.NotOwner, 0)
+	}
+	return Refuse(codes.JobUnknown, 0)
+}
+
+func (t *term) submit(now time.Time, c submitCall) {
+	if t.storing && now.Sub(t.storingSince) > storeAwayAfter {
+		t.machine.Called(now)
+		klog.InfoS("job-refused", "job", c.spec.ID, "queue", c.spec.Queue, "team", c.spec.Team, "why", "the journal can't be written")
+		countJob("store-away")
+		c.reply <- Refuse(codes.JobStoreAway, storeAwayRetry)
+		return
+	}
+	verdict, after := t.machine.Submit(now, c.spec)
+	countJob(verdict.String())
+	if verdict == sched.Overload {
+		klog.InfoS("job-refused", "job", c.spec.ID, "queue", c.spec.Queue, "team", c.spec.Team, "retry-after-ms", after.Milliseconds())
+		c.reply <- Refuse(codes.JobPoolFull, after)
+		return
+	}
+	tasks, coreSeconds := c.spec.Size()
+	klog.InfoS("job-taken", "job", c.spec.ID, "queue", c.spec.Queue, "team", c.spec.Team, "repeated", verdict == sched.Repeated,
+		"tasks", tasks, "core-seconds", coreSeconds, "lasting", c.spec.Lasting())
+	t.replies = append(t.replies, reply{c.reply, Answer{}})
+}
+
+// takeInbox takes over what gates accepted while they could not reach the owner.
+func (t *term) takeInbox(now time.Time, page inboxPage) {
+	if page.Next() >= page.End {
+		t.inboxRead = page.asked
+	}
+	for _, raw := range page.Records {
+		record, err := sched.Decode(raw)
+		if err != nil {
+			klog.ErrorS(err, "inbox-record-skipped")
+			continue
+		}
+		switch r := record.(type) {
+		case sched.JobAccepted:
+			klog.InfoS("job-from-inbox", "job", r.Job.ID)
+			t.machine.TakeOver(now, r.Job)
+		case sched.JobCancelled:
+			klog.InfoS("cancel-from-inbox", "job", r.ID)
+			t.machine.CancelEarly(now, r.ID)
+		default:
+			klog.InfoS("inbox-record-skipped", "type", "unexpected")
+		}
+	}
+	if len(page.Records) > 0 {
+		t.machine.ReadInbox(page.Next())
+	}
+}
--- /dev/null
+++ b/gate/lead/storing.go
@@ -0,0 +1,114 @@
+package lead
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"mangowing/core/codes"
+	"mangowing/core/sched"
+	"mangowing/gate/ports"
+)
+
+const (
+	snapshotPeriod = 60 * time.Second
+	// A successor behind the narrowest link replays this much in half a second.
+	snapshotBytes = 512 << 10
+	// A snapshot is taken no sooner than when the journal has grown by this many times the one before.
+	snapshotGrowth = 2
+)
+
+// reply is an answer that waits for records to be stored.
+type reply struct {
+	to     chan<- Answer
+	answer Answer
+}
+
+// group is a batch of the machine with the answers that wait for it.
+type group struct {
+	batch    sched.Batch
+	replies  []reply
+	records  [][]byte
+	snapshot int // index of the snapshot's first record, -1 for none
+}
+
+type storedGroup struct {
+	group
+	first int64
+	err   error
+}
+
+// store appends the next group, if there is anything to store.
+func (t *term) store(ctx context.Context) {
+	g := group{batch: t.machine.Take(), replies: t.replies, snapshot: -1}
+	t.replies = nil
+	t.encode(&g, g.batch.Records)
+	t.unsaved += sizeOf(g.records)
+	if now := time.Now(); now.Sub(t.snapshot) >= snapshotPeriod || t.unsaved >= max(snapshotBytes, snapshotGrowth*t.saved) {
+		g.snapshot = len(g.records)
+		t.encode(&g, t.machine.Snapshot())
+		t.snapshot, t.unsaved, t.saved = now, 0, sizeOf(g.records[g.snapshot:])
+	}
+	if len(g.records) == 0 {
+		t.complete(ctx, g)
+		return
+	}
+	t.storing, t.storingSince = true, time.Now()
+	go func() {
+		began := time.Now()
+		first, err := t.journal.append(ctx, g.records)
+		countAppend(len(g.records), time.Since(began))
+		t.stored <- storedGroup{g, first, err}
+	}()
+}
+
+func sizeOf(records [][]byte) int {
+	size := 0
+	for _, r := range records {
+		size += len(r)
+	}
+	return size
+}
+
+func (t *term) encode(g *group, records []sched.Record) {
+	for _, r := range records {
+		raw, err := sched.Encode(r)
+		if err != nil {
+			klog.ErrorS(err, "record-not-encoded")
+			continue
+		}
+		g.records = append(g.records, raw)
+	}
+}
+
+// finish takes the outcome of an append; the text says why the ownership ends, if it does.
+func (t *term) finish(ctx context.Context, s storedGroup) string {
+	t.storing = false
+	if s.err != nil {
+		for _, r := range s.replies {
+			r.to <- Refuse(codes.JobUnsettled, 0)
+		}
+		if errors.Is(s.err, ports.ErrFenced) {
+			return "the journal is fenced"
+		}
+		return "the journal can't be written: " + s.err.Error()
+	}
+	if s.snapshot >= 0 {
+		go t.journal.mark(ctx, s.first+int64(s.snapshot))
+	}
+	t.complete(ctx, s.group)
+	return ""
+}
+
+// complete does what waited for the group to be stored.
+func (t *term) complete(ctx context.Context, g group) {
+	t.machine.Stored(g.batch)
+	for _, r := range g.replies {
+		r.to <- r.answer
+	}
+	for _, o := range g.batch.After {
+		t.give(ctx, o)
+	}
+}
--- a/gate/lead/term.go
+++ b/gate/lead/term.go
@@ -2,35 +2,22 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
 
-	"mangowing/core/codes"
 	"mangowing/core/sched"
 	"mangowing/core/timer"
 	"mangowing/gate/ports"
 )
 
 const (
-	tick           = 50 * time.Millisecond
-	reportsQueue   = 1024
-	eventsAtOnce   = 128
-	snapshotPeriod = 60 * time.Second
-	// A successor behind the narrowest link replays this much in half a second.
-	snapshotBytes = 512 << 10
-	// A snapshot is taken no sooner than when the journal has grown by this many times the one before.
-	snapshotGrowth = 2
-	loadsPeriod    = time.Second
-	// An append without an answer for this long means that the log is away.
-	storeAwayAfter = 700 * time.Millisecond
-	// Callers come back this much later while the log is away.
-	storeAwayRetry = 2 * time.Second
-	takeOverLimit  = 20 * time.Second
-	// A job that is not known was accepted by nobody, if the inbox was read this lately.
-	inboxDoubt = 2 * time.Second
+	tick          = 50 * time.Millisecond
+	reportsQueue  = 1024
+	eventsAtOnce  = 128
+	loadsPeriod   = time.Second
+	takeOverLimit = 20 * time.Second
 )
 
 // term is one ownership of the scheduler; one goroutine runs it.
@@ -59,26 +46,6 @@
 	loadsLogged  time.Time
 }
 
-// reply is an answer that waits for records to be stored.
-type reply struct {
-	to     chan<- Answer
-	answer Answer
-}
-
-// group is a batch of the machine with the answers that wait for it.
-type group struct {
-	batch    sched.Batch
-	replies  []reply
-	records  [][]byte
-	snapshot int // index of the snapshot's first record, -1 for none
-}
-
-type storedGroup struct {
-	group
-	first int64
-	err   error
-}
-
 func newTerm(s *Service, epoch int64) *term {
 	return &term{
 		Service: s, epoch: epoch, machine: sched.New(s.deps.Options),
@@ -243,158 +210,6 @@
 	}
 }
 
-// store appends the next group, if there is anything to store.
-func (t *term) store(ctx context.Context) {
-	g := group{batch: t.machine.Take(), replies: t.replies, snapshot: -1}
-	t.replies = nil
-	t.encode(&g, g.batch.Records)
-	t.unsaved += sizeOf(g.records)
-	if now := time.Now(); now.Sub(t.snapshot) >= snapshotPeriod || t.unsaved >= max(snapshotBytes, snapshotGrowth*t.saved) {
-		g.snapshot = len(g.records)
-		t.encode(&g, t.machine.Snapshot())
-		t.snapshot, t.unsaved, t.saved = now, 0, sizeOf(g.records[g.snapshot:])
-	}
-	if len(g.records) == 0 {
-		t.complete(ctx, g)
-		return
-	}
-	t.storing, t.storingSince = true, time.Now()
-	go func() {
-		began := time.Now()
-		first, err := t.journal.append(ctx, g.records)
-		countAppend(len(g.records), time.Since(began))
-		t.stored <- storedGroup{g, first, err}
-	}()
-}
-
-func sizeOf(records [][]byte) int {
-	size := 0
-	for _, r := range records {
-		size += len(r)
-	}
-	return size
-}
-
-func (t *term) encode(g *group, records []sched.Record) {
-	for _, r := range records {
-		raw, err := sched.Encode(r)
-		if err != nil {
-			klog.ErrorS(err, "record-not-encoded")
-			continue
-		}
-		g.records = append(g.records, raw)
-	}
-}
-
-// finish takes the outcome of an append; the text says why the ownership ends, if it does.
-func (t *term) finish(ctx context.Context, s storedGroup) string {
-	t.storing = false
-	if s.err != nil {
-		for _, r := range s.replies {
-			r.to <- Refuse(codes.JobUnsettled, 0)
-		}
-		if errors.Is(s.err, ports.ErrFenced) {
-			return "the journal is fenced"
-		}
-		return "the journal can't be written: " + s.err.Error()
-	}
-	if s.snapshot >= 0 {
-		go t.journal.mark(ctx, s.first+int64(s.snapshot))
-	}
-	t.complete(ctx, s.group)
-	return ""
-}
-
-// complete does what waited for the group to be stored.
-func (t *term) complete(ctx context.Context, g group) {
-	t.machine.Stored(g.batch)
-	for _, r := range g.replies {
-		r.to <- r.answer
-	}
-	for _, o := range g.batch.After {
-		t.give(ctx, o)
-	}
-}
-
-// handle serves a call of the intake.
-func (t *term) handle(now time.Time, c call) {
-	switch c := c.(type) {
-	case submitCall:
-		t.submit(now, c)
-	case cancelCall:
-		if !t.machine.Cancel(now, c.id) {
-			c.reply <- t.unknown(now)
-			return
-		}
-		t.replies = append(t.replies, reply{c.reply, Answer{}})
-	case stateCall:
-		state, known := t.machine.State(c.id)
-		if !known {
-			c.reply <- t.unknown(now)
-			return
-		}
-		c.reply <- Answer{state: state}
-	case pendingCall:
-		c.reply <- Answer{count: t.machine.Pending(c.queue)}
-	}
-}
-
-// unknown answers for a job that is not on the journal. While the inbox may hold it, the call is to be made again.
-func (t *term) unknown(now time.Time) Answer {
-	if now.Sub(t.inboxRead) > inboxDoubt {
-		return Refuse(codes.NotOwner, 0)
-	}
-	return Refuse(codes.JobUnknown, 0)
-}
-
-func (t *term) submit(now time.Time, c submitCall) {
-	if t.storing && now.Sub(t.storingSince) > storeAwayAfter {
-		t.machine.Called(now)
-		klog.InfoS("job-refused", "job", c.spec.ID, "queue", c.spec.Queue, "team", c.spec.Team, "why", "the journal can't be written")
-		countJob("store-away")
-		c.reply <- Refuse(codes.JobStoreAway, storeAwayRetry)
-		return
-	}
-	verdict, after := t.machine.Submit(now, c.spec)
-	countJob(verdict.String())
-	if verdict == sched.Overload {
-		klog.InfoS("job-refused", "job", c.spec.ID, "queue", c.spec.Queue, "team", c.spec.Team, "retry-after-ms", after.Milliseconds())
-		c.reply <- Refuse(codes.JobPoolFull, after)
-		return
-	}
-	tasks, coreSeconds := c.spec.Size()
-	klog.InfoS("job-taken", "job", c.spec.ID, "queue", c.spec.Queue, "team", c.spec.Team, "repeated", verdict == sched.Repeated,
-		"tasks", tasks, "core-seconds", coreSeconds, "lasting", c.spec.Lasting())
-	t.replies = append(t.replies, reply{c.reply, Answer{}})
-}
-
-// takeInbox takes over what gates accepted while they could not reach the owner.
-func (t *term) takeInbox(now time.Time, page inboxPage) {
-	if page.Next() >= page.End {
-		t.inboxRead = page.asked
-	}
-	for _, raw := range page.Records {
-		record, err := sched.Decode(raw)
-		if err != nil {
-			klog.ErrorS(err, "inbox-record-skipped")
-			continue
-		}
-		switch r := record.(type) {
-		case sched.JobAccepted:
-			klog.InfoS("job-from-inbox", "job", r.Job.ID)
-			t.machine.TakeOver(now, r.Job)
-		case sched.JobCancelled:
-			klog.InfoS("cancel-from-inbox", "job", r.ID)
-			t.machine.CancelEarly(now, r.ID)
-		default:
-			klog.InfoS("inbox-record-skipped", "type", "unexpected")
-		}
-	}
-	if len(page.Records) > 0 {
-		t.machine.ReadInbox(page.Next())
-	}
-}
-
 // logLoads tells once in a while what each pool has to do.
 func (t *term) logLoads(now time.Time) {
 	if now.Sub(t.loadsLogged) < loadsPeriod {
