Go through a deep backlog seldom, and try a size that fits nowhere once

Now a pass remembers the sizes that fit nowhere, asks for the next team only after a start, and comes again after 15 microseconds for each waiting step.

--- a/core/sched/copies.go
+++ b/core/sched/copies.go
@@ -13,15 +13,15 @@
 // worker that does not answer, or is overdue and the pool has nothing better to do.
 func (m *Machine) startCopies(now time.Time) {
 	for _, p := range m.poolOrder {
-		var workers []*worker
+		var r *room
 		for _, t := range m.wantingCopies(now, p) {
-			if workers == nil {
-				workers = m.usableWorkers(p.name, now)
+			if r == nil {
+				r = &room{workers: m.usableWorkers(p.name, now)}
 			}
 			if !m.underLimit(t.step, 1) || !m.window.open() {
 				break
 			}
-			if w := m.pick(now, t, workers); w != nil {
+			if w := m.pick(now, t, r); w != nil {
 				m.decide(now, "copy-started", t.id().String(), w.id, "the attempt on "+t.runs[0].worker.id+" is silent or overdue")
 				m.startOn(t, w, t.attempts+1)
 			}
--- a/core/sched/gang.go
+++ b/core/sched/gang.go
@@ -2,18 +2,19 @@
 
 import "time"
 
-// placeGang starts the members of a gang only if there is room for all.
-func (m *Machine) placeGang(now time.Time, s *step, workers []*worker) {
+// placeGang starts the members of a gang only if there is room for all, and returns how many.
+func (m *Machine) placeGang(now time.Time, s *step, r *room) int {
 	if s.running > 0 || !m.underLimit(s, s.spec.Count) {
-		return
+		return 0
 	}
 	attempt := 0
 	for _, t := range s.tasks {
 		attempt = max(attempt, t.attempts)
 	}
 	plan := make([]*worker, 0, len(s.tasks))
+	trial := &room{workers: r.workers}
 	for _, t := range s.tasks {
-		w := m.pick(now, t, workers)
+		w := m.pick(now, t, trial)
 		if w == nil {
 			break
 		}
@@ -26,11 +27,12 @@
 		s.count(w.id, -1)
 	}
 	if len(plan) < len(s.tasks) {
-		return
+		return 0
 	}
 	for i, t := range s.tasks {
 		m.startOn(t, plan[i], attempt+1)
 	}
+	return len(s.tasks)
 }
 
 func (s *step) count(workerID string, change int) {
--- a/core/sched/load_bench_test.go
+++ b/core/sched/load_bench_test.go
@@ -33,6 +33,7 @@
 	workersPerPool = 80
 	tasksPerJob    = 8
 	turnSeconds    = 4
+	teams          = 29
 )
 
 // fleet plays workers that run what they are told without a fault.
@@ -100,14 +101,25 @@
 	return f
 }
 
-func (f *fleet) submit(pool int, step StepSpec) {
+func (f *fleet) submit(pool int, step StepSpec) { f.submitFor("retail", pool, step) }
+
+func (f *fleet) submitFor(team string, pool int, step StepSpec) {
 	f.jobs++
-	f.m.Submit(f.now, JobSpec{
-		ID: fmt.Sprintf("%016x", f.jobs), Queue: fmt.Sprintf("queue-pool-%d", pool), Pool: fmt.Sprintf("pool-%d", pool), Team: "retail",
+	f.m.TakeOver(f.now, JobSpec{
+		ID: fmt.Sprintf("%016x", f.jobs), Queue: fmt.Sprintf("queue-pool-%d", pool), Pool: fmt.Sprintf("pool-%d", pool), Team: team,
 		Steps: []StepSpec{step}, MaxAttempts: 2, Slack: 1.6, TargetMs: 600, AcceptedMs: f.now.UnixMilli(), FirstSentMs: f.now.UnixMilli(),
 	})
 }
 
+// waiting returns how many tasks of the pool wait.
+func (f *fleet) waiting(pool int) int {
+	n := 0
+	for s := range f.m.poolOf(fmt.Sprintf("pool-%d", pool)).waiting {
+		n += s.waiting
+	}
+	return n
+}
+
 // second plays a second in which one pool in four has its turn, with so many jobs.
 func (f *fleet) second(jobsPerSecond int) {
 	f.seconds++
@@ -181,3 +193,16 @@
 	default:
 	}
 }
+
+// Pattern: after an outage ten thousand tasks of many teams wait in one pool, while jobs go on coming.
+func BenchmarkDeepBacklog(b *testing.B) {
+	f := newFleet(4)
+	for i := range 1250 {
+		f.submitFor(fmt.Sprintf("team-%d", i%teams), 0, StepSpec{Count: tasksPerJob, CPU: 500 + i*37%8000, MemMB: 500 + i*101%9000, EstimateMs: 1000})
+	}
+	f.settle()
+	for b.Loop() {
+		f.second(60)
+	}
+	b.ReportMetric(float64(f.waiting(0)), "waiting")
+}
--- a/core/sched/load_patterns_test.go
+++ b/core/sched/load_patterns_test.go
@@ -382,7 +382,7 @@
 	b.submit("a", oneCore(5))
 	starts := b.answerStarts(OK)
 	assert.Equal(t, len(starts), 3)
-	b.pass(backlogPeriod)
+	b.pass(time.Millisecond)
 	assert.Equal(t, len(take[StartTask](b)), 2, "the first three were answered")
 }
 
--- a/core/sched/machine.go
+++ b/core/sched/machine.go
@@ -70,9 +70,8 @@
 type pool struct {
 	name    string
 	waiting map[*step]bool
-	dirty   bool      // something happened since its waiting tasks were last looked at
-	period  time.Time // since when the looks at them are counted
-	looks   int
+	dirty   bool               // something happened since its waiting tasks were last looked at
+	passed  time.Time          // when its waiting tasks were last gone through
 	running map[string]float64 // cores at work by team
 }
 
--- a/core/sched/pick.go
+++ b/core/sched/pick.go
@@ -22,22 +22,6 @@
 
 func within(used, limit int) bool { return limit == 0 || used <= limit }
 
-// pick returns the best worker for a task, nil if none has room.
-func (m *Machine) pick(now time.Time, t *task, workers []*worker) *worker {
-	var best *worker
-	s := t.step
-	needs := s.spec.Needs()
-	for _, w := range workers {
-		if !needs.Fits(w.free()) || !m.suits(now, t, w) {
-			continue
-		}
-		if best == nil || m.better(t, w, best) {
-			best = w
-		}
-	}
-	return best
-}
-
 func (m *Machine) suits(now time.Time, t *task, w *worker) bool {
 	s := t.step
 	switch {
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -1,22 +1,9 @@
 package sched
 
-import (
-	"time"
-
-	"mangowing/core/setup"
-)
-
-// looked counts a look at the pool's waiting tasks, and returns how many there were in this period.
-func (p *pool) looked(now time.Time) int {
-	if now.Sub(p.period) >= backlogPeriod {
-		p.period, p.looks = now, 0
-	}
-	p.looks++
-	return p.looks
-}
+import "time"
 
 // placeClass gives the teams turns: the one with the least running for its weight goes next.
-func (m *Machine) placeClass(now time.Time, p *pool, class []candidate, workers []*worker) {
+func (m *Machine) placeClass(now time.Time, p *pool, class []candidate, r *room) {
 	byTeam := map[string][]candidate{}
 	for _, c := range class {
 		team := c.step.job().spec.Team
@@ -24,14 +11,23 @@
 	}
 	for len(byTeam) > 0 {
 		team := m.leastServed(p, byTeam)
-		s := byTeam[team][0].step
-		if byTeam[team] = byTeam[team][1:]; len(byTeam[team]) == 0 {
+		byTeam[team] = m.placeFirst(now, byTeam[team], r)
+		if len(byTeam[team]) == 0 {
 			delete(byTeam, team)
 		}
-		m.placeStep(now, s, workers)
 	}
 }
 
+// placeFirst places the first step that has room for a task, and returns the steps after it.
+func (m *Machine) placeFirst(now time.Time, steps []candidate, r *room) []candidate {
+	for i, c := range steps {
+		if m.placeStep(now, c.step, r) > 0 {
+			return steps[i+1:]
+		}
+	}
+	return nil
+}
+
 func (m *Machine) leastServed(p *pool, byTeam map[string][]candidate) string {
 	best, bestLoad := "", 0.0
 	first := true
@@ -48,62 +44,37 @@
 	return best
 }
 
-// usableIn returns the pool's workers that have room for the smallest of its waiting tasks.
-func (m *Machine) usableIn(p *pool, now time.Time) []*worker {
-	least := p.leastNeeds()
-	var workers []*worker
-	for _, w := range m.byID {
-		if w.entry.Pool == p.name && least.Fits(w.free()) && w.usable(now) {
-			workers = append(workers, w)
-		}
-	}
-	return workers
-}
-
-// leastNeeds returns the least of each resource that a waiting task of the pool takes.
-func (p *pool) leastNeeds() setup.Resources {
-	var least setup.Resources
-	first := true
-	for s := range p.waiting {
-		needs := s.spec.Needs()
-		if first {
-			least, first = needs, false
-			continue
-		}
-		least = setup.Resources{CPU: min(least.CPU, needs.CPU), MemMB: min(least.MemMB, needs.MemMB), GPU: min(least.GPU, needs.GPU)}
-	}
-	return least
-}
-
-// placeStep starts as many waiting tasks of the step as there is room for.
-func (m *Machine) placeStep(now time.Time, s *step, workers []*worker) {
-	if !m.hasTickets(now, s, workers) {
-		return
+// placeStep starts as many waiting tasks of the step as there is room for, and returns how many.
+func (m *Machine) placeStep(now time.Time, s *step, r *room) int {
+	if r.lacks(s.spec.Needs()) || !m.hasTickets(now, s, r.workers) {
+		return 0
 	}
 	if s.spec.Gang {
-		m.placeGang(now, s, workers)
-		return
+		return m.placeGang(now, s, r)
 	}
+	started := 0
 	for _, t := range s.tasks {
 		if !t.waits() {
 			continue
 		}
 		if !m.underLimit(s, 1) {
-			return
+			return started
 		}
 		if !m.window.open() {
 			m.wake(m.poolNameOf(s.job()))
-			return
+			return started
 		}
-		w := m.pick(now, t, workers)
+		w := m.pick(now, t, r)
 		if w == nil {
 			if t.failures > 0 {
 				continue
 			}
-			return
+			return started
 		}
 		m.startOn(t, w, t.attempts+1)
+		started++
 	}
+	return started
 }
 
 // lastingWorkers is over how many workers a lasting step is spread.
--- a/core/sched/preempt.go
+++ b/core/sched/preempt.go
@@ -26,7 +26,7 @@
 		if s == nil {
 			continue
 		}
-		if len(m.usableIn(p, now)) == 0 && !m.preempting(p) {
+		if len(m.roomIn(p, now).workers) == 0 && !m.preempting(p) {
 			m.preemptFor(now, p, s)
 		}
 	}
--- a/core/sched/queueing.go
+++ b/core/sched/queueing.go
@@ -30,25 +30,33 @@
 )
 
 const (
-	// A pool in which tasks are left waiting is looked at so many times in this period, however many tasks end.
-	backlogPeriod = 10 * time.Millisecond
-	backlogLooks  = 3
+	// A pool's waiting steps are gone through again no sooner than after so long for each, since it takes time;
+	passPause = 15 * time.Microsecond
+	// so few of them at any time.
+	quickSteps = 32
 )
 
 // place starts waiting tasks of a pool: lasting ones first, then by priority; within one, those that can still meet
 // their objective, the teams by their shares.
 func (m *Machine) place(now time.Time, p *pool) {
-	if len(p.waiting) == 0 || !p.dirty || !m.window.open() || p.looked(now) > backlogLooks {
+	if len(p.waiting) == 0 || !p.dirty || !m.window.open() || now.Sub(p.passed) < p.pause() {
 		return
 	}
-	p.dirty = false
-	if workers := m.usableIn(p, now); len(workers) > 0 {
-		for _, class := range m.candidates(now, p) {
-			m.placeClass(now, p, class, workers)
-		}
+	p.dirty, p.passed = false, now
+	r := m.roomIn(p, now)
+	if len(r.workers) == 0 {
+		return
+	}
+	for _, class := range m.candidates(now, p) {
+		m.placeClass(now, p, class, r)
 	}
 }
 
+// pause returns how long after a pass over the pool's waiting steps the next one may come.
+func (p *pool) pause() time.Duration {
+	return time.Duration(max(0, len(p.waiting)-quickSteps)) * passPause
+}
+
 // candidates returns the waiting steps in classes; an earlier class goes first.
 func (m *Machine) candidates(now time.Time, p *pool) [][]candidate {
 	byRank := map[int][]candidate{}
--- /dev/null
+++ b/core/sched/room_test.go
@@ -0,0 +1,76 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mangowing/core/setup"
+)
+
+// Pattern: tasks of many sizes wait in a pool whose workers have gaps of many sizes. Nothing that fits is left waiting.
+func TestNoRoomIsLeftBesideWorkThatFits(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		b := newBench(t, 3)
+		b.m.now = nil
+		for i := range rapid.IntRange(1, 25).Draw(rt, "jobs") {
+			b.submit(fmt.Sprintf("j%d", i), StepSpec{
+				Count:      rapid.IntRange(1, 4).Draw(rt, "count"),
+				CPU:        rapid.IntRange(1, 45).Draw(rt, "cpu") * 100,
+				MemMB:      rapid.IntRange(1, 90).Draw(rt, "memory") * 100,
+				EstimateMs: 1000,
+			})
+		}
+		b.pass(time.Second)
+		for s := range b.m.poolOf("pots").waiting {
+			for _, w := range b.m.byID {
+				fits := s.spec.Needs().Fits(w.free())
+				assert.Assert(rt, !fits || !b.m.underLimit(s, 1), "%+v fits on %+v", s.spec.Needs(), w.free())
+			}
+		}
+	})
+}
+
+// Pattern: thousands of tasks wait that are larger than the gaps of their pool. A size that fits nowhere, and all larger
+// ones, are tried on the workers once.
+func TestWhatFitsNowhereIsTriedOnce(t *testing.T) {
+	var r room
+	r.lack(setup.Resources{CPU: 4000, MemMB: 100})
+	r.lack(setup.Resources{CPU: 100, MemMB: 9000})
+	scenarios := []struct {
+		testName string
+		needs    setup.Resources
+		expected bool
+	}{
+		{"the same", setup.Resources{CPU: 4000, MemMB: 100}, true},
+		{"larger", setup.Resources{CPU: 4100, MemMB: 5000}, true},
+		{"less of one, more of the other", setup.Resources{CPU: 3900, MemMB: 8900}, false},
+		{"more memory than fits", setup.Resources{CPU: 200, MemMB: 9100}, true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) { assert.Equal(t, r.lacks(s.needs), s.expected) })
+	}
+	r.lack(setup.Resources{CPU: 50, MemMB: 50})
+	assert.Equal(t, len(r.lacking), 1, "the smaller size says all")
+}
+
+// Pattern: a deep backlog, and ends of tasks each millisecond. The time spent going through it is bounded.
+func TestDeepBacklogIsGoneThroughSeldom(t *testing.T) {
+	b := newBench(t, 2)
+	const jobs = 1000
+	for i := range jobs {
+		b.submit(fmt.Sprintf("j%d", i), oneCore(2))
+	}
+	passes, last := 0, time.Time{}
+	for range 1000 {
+		b.m.wakeAll()
+		b.pass(time.Millisecond)
+		if p := b.m.poolOf("pots"); !p.passed.Equal(last) {
+			passes, last = passes+1, p.passed
+		}
+	}
+	assert.Assert(t, passes >= 10 && passes <= int(time.Second/(jobs*passPause))+1, "%d passes in a second", passes)
+}
