--- a/core/sched/load_patterns_test.go
+++ b/core/sched/load_patterns_test.go
@@ -37,6 +37,24 @@
 	assert.Assert(t, expected("desks") < 10)
 }
 
+// Pattern: hundreds of machines that are listed over some seconds, before the first turn.
+func TestFirstTurnIsAsHighAsTheWholePoolAllows(t *testing.T) {
+	var p turnPlan
+	now := start
+	for cores := 100.0; cores <= 1000; cores += 100 {
+		p.expect(now, "pots", cores)
+		now = now.Add(100 * time.Millisecond)
+	}
+	p.expect(now, "pots", 300)
+	for range 10 {
+		now = now.Add(50 * time.Millisecond)
+		p.arrived(now, "pots", 30)
+	}
+	assert.Assert(t, p.expect(now, "pots", 300) >= 1000*firstPeakShare)
+	p.expect(now, "pots", 2000)
+	assert.Equal(t, p.trend("pots").home, 1000.0, "machines that come for a turn are not of the pool")
+}
+
 // Pattern: single large jobs between the turns.
 func TestOneLargeJobIsNoTurn(t *testing.T) {
 	var p turnPlan
--- a/core/sched/turns.go
+++ b/core/sched/turns.go
@@ -114,7 +114,8 @@
 // the given cores.
 func (p *turnPlan) expect(now time.Time, pool string, cores float64) float64 {
 	t := p.trend(pool)
-	if t.home == 0 && cores > 0 {
+	if t.began.IsZero() && t.work == 0 && cores > t.home {
+		// A large fleet is listed over some seconds.
 		t.home, t.changed = cores, true
 	}
 	p.watch(now, t)
