Meet a growing turn ahead: by the line through its arrivals, and by what other pools' turns were

Now the need is what will come in 2.2 s by least squares over the turn so far, up to 1.6 times the turn's mean; a first turn counts as high as those of other pools for their size.

--- a/core/sched/load_patterns_test.go
+++ b/core/sched/load_patterns_test.go
@@ -55,6 +55,45 @@
 	assert.Equal(t, p.trend("pots").home, 1000.0, "machines that come for a turn are not of the pool")
 }
 
+// Pattern: a turn whose work grows for seconds. Machines are asked for by what will come when they have arrived.
+func TestGrowingTurnIsMetAhead(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		rate     func(seconds float64) float64 // core-seconds in a second
+		at       time.Duration
+		least    float64
+		most     float64
+	}{
+		{"grows", func(s float64) float64 { return 400 * s }, 2 * time.Second, 1300, 1700},
+		{"grows no higher than turns do", func(s float64) float64 { return 2000 * s }, 2 * time.Second, 2 * 1000 * firstPeakShare, 4000},
+		{"even", func(float64) float64 { return 1500 }, 3 * time.Second, 1250, 1650},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			var p turnPlan
+			p.expect(start, "pots", 1000)
+			const step = 10 * time.Millisecond
+			now := start
+			for ; now.Before(start.Add(s.at)); now = now.Add(step) {
+				p.arrived(now, "pots", s.rate(now.Sub(start).Seconds())*step.Seconds())
+				p.expect(now, "pots", 1000)
+			}
+			got := p.expect(now, "pots", 1000)
+			assert.Assert(t, got >= s.least && got <= s.most, "%v", got)
+		})
+	}
+}
+
+// Pattern: the first turn of a pool, after one of another pool.
+func TestFirstTurnIsAsHighAsThoseOfOtherPools(t *testing.T) {
+	var p turnPlan
+	p.trend("desks").home, p.trend("desks").peak = 500, 1000
+	p.expect(start, "pots", 300)
+	assert.Equal(t, p.height(p.trend("pots")), 600.0)
+	p.trend("pots").peak = 400
+	assert.Equal(t, p.height(p.trend("pots")), 400.0)
+}
+
 // Pattern: single large jobs between the turns.
 func TestOneLargeJobIsNoTurn(t *testing.T) {
 	var p turnPlan
--- a/core/sched/turns.go
+++ b/core/sched/turns.go
@@ -10,6 +10,13 @@
 	// Arrivals of this time tell the rate at which work comes.
 	rateWindow  = 800 * time.Millisecond
 	rateBuckets = 8
+	// Arrivals of so many buckets, the present one among them, tell how a turn's work grows.
+	keptBuckets = 22
+	rampBuckets = 8 // at least
+	// Machines that are told to move now are of use after this time.
+	rampLead = 2200 * time.Millisecond
+	// Work grows no higher than this many times the mean of a turn.
+	topShare = 1.6
 	// Buckets that tell whether a turn begins.
 	onsetBuckets = 5
 	// A turn begins with so many jobs in these buckets, and more work than this share of what the pool's first machines
@@ -18,7 +25,7 @@
 	onsetShare = 0.3
 	// A turn is over when work comes slower than this share of its peak.
 	overShare = 0.15
-	// Peak of a pool's first turn, as a share of what its first machines can do.
+	// Mean of a pool's first turn, as a share of what its first machines can do.
 	firstPeakShare = 1.25
 	// Turns begin as machines are moved this long before.
 	moveLead = 1800 * time.Millisecond
@@ -47,8 +54,8 @@
 
 // poolTrend is how much work came to a pool lately, and what is known of its turns.
 type poolTrend struct {
-	buckets [rateBuckets]float64 // core-seconds
-	jobs    [rateBuckets]int
+	buckets [keptBuckets]float64 // core-seconds
+	jobs    [keptBuckets]int
 	bucket  int64
 	home    float64   // cores of the machines that the pool had at first
 	peak    float64   // core-seconds in a second of its turns, 0 if none was seen
@@ -78,12 +85,12 @@
 // advance empties the buckets whose time is over.
 func (t *poolTrend) advance(now time.Time) {
 	bucket := now.UnixMilli() / bucketMs
-	if bucket-t.bucket > rateBuckets {
-		t.buckets, t.jobs, t.bucket = [rateBuckets]float64{}, [rateBuckets]int{}, bucket
+	if bucket-t.bucket > keptBuckets {
+		t.buckets, t.jobs, t.bucket = [keptBuckets]float64{}, [keptBuckets]int{}, bucket
 	}
 	for t.bucket < bucket {
 		t.bucket++
-		t.buckets[t.bucket%rateBuckets], t.jobs[t.bucket%rateBuckets] = 0, 0
+		t.buckets[t.bucket%keptBuckets], t.jobs[t.bucket%keptBuckets] = 0, 0
 	}
 }
 
@@ -92,7 +99,7 @@
 	t.advance(now)
 	sum := 0.0
 	for i := range buckets {
-		sum += t.buckets[(t.bucket-i)%rateBuckets]
+		sum += t.buckets[(t.bucket-i)%keptBuckets]
 	}
 	return sum / (float64(buckets*bucketMs) / float64(time.Second/time.Millisecond))
 }
@@ -105,8 +112,8 @@
 	t := p.trend(pool)
 	p.heard, t.known = now, true
 	t.advance(now)
-	t.buckets[t.bucket%rateBuckets] += coreSeconds
-	t.jobs[t.bucket%rateBuckets]++
+	t.buckets[t.bucket%keptBuckets] += coreSeconds
+	t.jobs[t.bucket%keptBuckets]++
 	t.work += coreSeconds
 }
 
@@ -120,18 +127,47 @@
 	}
 	p.watch(now, t)
 	rate := t.rate(now)
-	if t.turning || p.due(now, t) {
-		return max(rate, t.height())
+	switch {
+	case t.turning:
+		return max(rate, p.height(t), min(t.ramp(now), topShare*p.height(t)))
+	case p.due(now, t):
+		return max(rate, p.height(t))
+	default:
+		return rate
 	}
-	return rate
 }
 
-// height returns how high the pool's turns are expected to be.
-func (t *poolTrend) height() float64 {
+// ramp returns the core-seconds that will arrive in a second when machines that are moved now are of use, if work goes on
+// growing as it did: by the line of least squares through the buckets of the present turn.
+func (t *poolTrend) ramp(now time.Time) float64 {
+	t.advance(now)
+	n := min(int64(keptBuckets-1), now.Sub(t.began).Milliseconds()/bucketMs)
+	if n < rampBuckets {
+		return 0
+	}
+	middle, mean, slope, spread := float64(n+1)/2, 0.0, 0.0, 0.0
+	for i := int64(1); i <= n; i++ {
+		work, age := t.buckets[(t.bucket-i)%keptBuckets], float64(i)
+		mean += work / float64(n)
+		slope += (middle - age) * work
+		spread += (middle - age) * (middle - age)
+	}
+	ahead := middle + float64(rampLead.Milliseconds()/bucketMs)
+	return (mean + slope/spread*ahead) / time.Duration(bucketMs*int64(time.Millisecond)).Seconds()
+}
+
+// height returns how high the pool's turns are expected to be: a first one as high as those of other pools of its size.
+func (p *turnPlan) height(t *poolTrend) float64 {
 	if t.peak > 0 {
 		return t.peak
 	}
-	return t.home * firstPeakShare
+	share := firstPeakShare
+	for _, other := range p.pools {
+		if other.home > 0 {
+			share = max(share, other.peak/other.home)
+		}
+	}
+	return t.home * share
 }
 
 // watch notes the beginning and the end of turns.
@@ -146,7 +182,7 @@
 			p.learnCycle(lasted)
 		}
 		t.turning, t.partial, t.began, t.work, t.changed = true, false, now, 0, true
-	case t.turning && lasted >= shortestTurn && rate < overShare*max(t.mean(now), t.height()):
+	case t.turning && lasted >= shortestTurn && rate < overShare*max(t.mean(now), p.height(t)):
 		t.turning = false
 		t.learnPeak(now)
 	}
@@ -219,7 +255,7 @@
 	rate := t.rateOf(now, onsetBuckets)
 	jobs := 0
 	for i := range int64(onsetBuckets) {
-		jobs += t.jobs[(t.bucket-i)%rateBuckets]
+		jobs += t.jobs[(t.bucket-i)%keptBuckets]
 	}
 	return jobs >= onsetJobs && rate > onsetShare*max(t.home, t.peak)
 }
