No answer of a worker takes the owner down or passes for an empty list

Found while looking for what operators of similar systems met: an answer of 200 that was JSON but no object, or had lists of another type, was read as empty lists, so that what ran there counted as lost and was started elsewhere; an unreadable row of what runs did the same to its run; a panic in the goroutine of an order ended the process.

--- a/core/sched/looks.go
+++ b/core/sched/looks.go
@@ -57,7 +57,9 @@
 		listed[key] = true
 		m.takeActive(now, w, key, a)
 	}
-	m.settle(now, w, listed, rep.SentAt)
+	if !rep.Partial {
+		m.settle(now, w, listed, rep.SentAt)
+	}
 	m.setPaces(w)
 	w.nextHold = now.Add(m.endsGather())
 	if fresh || len(rep.Ended) >= endsOfOneCall {
--- a/core/sched/machine_test.go
+++ b/core/sched/machine_test.go
@@ -432,3 +432,22 @@
 	pass(begun.Add(2*time.Second + b.m.options.lapseAfter() + time.Second))
 	assert.Equal(t, len(take[StartTask](b)), 1)
 }
+
+// A list with a row that can't be read says nothing of what it doesn't name.
+func TestUnreadableRowEndsNothing(t *testing.T) {
+	for _, s := range []struct {
+		testName string
+		partial  bool
+		expected int
+	}{{"whole list", false, 1}, {"unreadable row", true, 0}} {
+		t.Run(s.testName, func(t *testing.T) {
+			b := newBench(t, 1)
+			b.submit("a", oneCore(1))
+			o := b.answerStarts(OK)[0]
+			b.pass(time.Second)
+			b.m.Apply(b.now, HoldReport{Order: HoldWorker{Worker: o.Worker}, SentAt: b.now, Born: 1, Partial: s.partial})
+			b.settle()
+			assert.Equal(t, len(take[StartTask](b)), s.expected)
+		})
+	}
+}
--- a/core/sched/report.go
+++ b/core/sched/report.go
@@ -65,6 +65,7 @@
 	Born      int64     // start of the worker's incarnation in Unix milliseconds, 0 if it doesn't say
 	Active    []ActiveRun
 	Ended     []EndedRun
+	Partial   bool // more may run than is in Active
 }
 
 // ActiveRun is an attempt that runs on a worker.
--- a/gate/lead/orders.go
+++ b/gate/lead/orders.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	"mangowing/core/sched"
@@ -36,9 +38,9 @@
 		t.toWorker(ctx, o.Worker, sched.HoldReport{Order: o, Answer: sched.Unknown}, o.Wait+holdSlack,
 			func(ctx context.Context, to ports.Target) sched.Report { return t.hold(ctx, to, o) })
 	case sched.AskAdvice:
-		t.spawn(ctx, adviceLimit, func(ctx context.Context) sched.Report { return t.deps.Advisor.Ask(ctx, o) })
+		t.spawn(ctx, adviceLimit, sched.AdviceReport{Order: o, Answer: sched.Unknown}, func(ctx context.Context) sched.Report { return t.deps.Advisor.Ask(ctx, o) })
 	case sched.MoveMachine:
-		t.giveMachine(ctx, o, func(ctx context.Context) sched.Report {
+		t.giveMachine(ctx, o, sched.MoveReport{Order: o, Answer: sched.Unknown}, func(ctx context.Context) sched.Report {
 			return sched.MoveReport{Order: o, Answer: t.deps.Machines.Move(ctx, o, t.epoch)}
 		})
 	case sched.ServiceMachine:
@@ -46,7 +48,7 @@
 			t.machine.Apply(time.Now(), sched.ServiceReport{Order: o, Answer: sched.Withdrawn})
 			return
 		}
-		t.giveMachine(ctx, o, func(ctx context.Context) sched.Report {
+		t.giveMachine(ctx, o, sched.ServiceReport{Order: o, Answer: sched.Unknown}, func(ctx context.Context) sched.Report {
 			return sched.ServiceReport{Order: o, Answer: t.deps.Machines.Service(ctx, o, t.epoch)}
 		})
 	case sched.ReportWave:
@@ -87,12 +89,12 @@
 	return rep
 }
 
-func (t *term) giveMachine(ctx context.Context, o sched.Order, f func(context.Context) sched.Report) {
+func (t *term) giveMachine(ctx context.Context, o sched.Order, none sched.Report, f func(context.Context) sched.Report) {
 	if !t.deps.Keeper.MayOrder() {
 		t.held = append(t.held, o)
 		return
 	}
-	t.spawn(ctx, machineLimit, f)
+	t.spawn(ctx, machineLimit, none, f)
 }
 
 // toWorker calls a worker whose address is known; else the order ends with the report for no answer.
@@ -102,17 +104,29 @@
 		go func() { t.report(ctx, none) }()
 		return
 	}
-	t.spawn(ctx, limit, func(ctx context.Context) sched.Report { return f(ctx, to) })
+	t.spawn(ctx, limit, none, func(ctx context.Context) sched.Report { return f(ctx, to) })
 }
 
-func (t *term) spawn(ctx context.Context, limit time.Duration, f func(context.Context) sched.Report) {
+// spawn carries an order out on a goroutine of its own; one that fails in an unexpected way ends with the report for no
+// answer.
+func (t *term) spawn(ctx context.Context, limit time.Duration, none sched.Report, f func(context.Context) sched.Report) {
 	go func() {
 		callCtx, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
-		t.report(ctx, f(callCtx))
+		t.report(ctx, attempt(callCtx, none, f))
 	}()
 }
 
+func attempt(ctx context.Context, none sched.Report, f func(context.Context) sched.Report) (r sched.Report) {
+	defer func() {
+		if failure := recover(); failure != nil {
+			klog.ErrorS(eris.Errorf("%v", failure), "order-panicked", "stack", string(debug.Stack()))
+			r = none
+		}
+	}()
+	return f(ctx)
+}
+
 func (t *term) report(ctx context.Context, r sched.Report) {
 	switch r := r.(type) {
 	case sched.StartReport:
--- /dev/null
+++ b/gate/lead/orders_test.go
@@ -0,0 +1,28 @@
+package lead
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangowing/core/sched"
+)
+
+// An order whose answer takes its code by surprise has no answer; the owner goes on.
+func TestOrderThatPanicsHasNoAnswer(t *testing.T) {
+	term := &term{reports: make(chan sched.Report, 1)}
+	move := sched.MoveMachine{Machine: "m", Pool: "pots"}
+	none := sched.MoveReport{Order: move, Answer: sched.Unknown}
+	term.spawn(context.Background(), time.Second, none, func(context.Context) sched.Report {
+		var lists map[string][]string
+		return sched.MoveReport{Order: move, Answer: sched.Answer(len(lists["missing"][3]))}
+	})
+	select {
+	case r := <-term.reports:
+		assert.Equal(t, r, sched.Report(none))
+	case <-time.After(time.Second):
+		t.Fatal("no report")
+	}
+}
