A call between gates that panics its handler fails alone

Cause: jsonrpc2 answers on its own goroutines, so that a handler's panic ended the process. The test ended its test process before.

--- a/gate/peers/call_test.go
+++ b/gate/peers/call_test.go
@@ -54,6 +54,24 @@
 	}
 }
 
+// A call that takes its handler by surprise fails alone; the gate goes on answering.
+func TestHandlerThatPanicsFailsItsCallOnly(t *testing.T) {
+	address := serveMethods(t, newTestNetwork(freeAddress(t)), "index",
+		func(_ context.Context, params json.RawMessage) (any, error) {
+			var list []int
+			if err := json.Unmarshal(params, &list); err != nil {
+				return nil, err
+			}
+			return list[2], nil
+		})
+	caller := newTestNetwork("")
+	assert.NilError(t, awaitListener(caller, address))
+	answer := 0
+	assert.Equal(t, codes.Of(caller.Call(t.Context(), address, "index", []int{1}, &answer)), codes.Internal)
+	assert.NilError(t, caller.Call(t.Context(), address, "index", []int{1, 2, 3}, &answer))
+	assert.Equal(t, answer, 3)
+}
+
 // awaitListener calls a method that nobody has until the address accepts connections.
 func awaitListener(n *Network, address string) error {
 	for {
--- a/gate/peers/network.go
+++ b/gate/peers/network.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -29,6 +30,17 @@
 // Handler answers one method of another gate; a *codes.Error keeps its code on the way back.
 type Handler func(ctx context.Context, params json.RawMessage) (any, error)
 
+// attempt answers a call; a handler that fails in an unexpected way fails this call only.
+func (h Handler) attempt(ctx context.Context, method string, params json.RawMessage) (result any, err error) {
+	defer func() {
+		if failure := recover(); failure != nil {
+			err = eris.Errorf("%s: %v", method, failure)
+			klog.ErrorS(err, "handler-panicked", "method", method, "stack", string(debug.Stack()))
+		}
+	}()
+	return h(ctx, params)
+}
+
 // Network carries calls between gates over one connection for each address.
 type Network struct {
 	address  string
@@ -152,7 +164,7 @@
 	if req.Params != nil {
 		params = *req.Params
 	}
-	result, err := handle(ctx, params)
+	result, err := handle.attempt(ctx, req.Method, params)
 	if req.Notif {
 		return
 	}
