--- /dev/null
+++ b/core/sched/budget_test.go
@@ -0,0 +1,67 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangowing/core/setup"
+)
+
+// idleFleet returns a machine whose pool "pots" has that many idle machines more than it needs.
+func idleFleet(t *testing.T, machines int, perSecond float64) *bench {
+	b := newBench(t, 0)
+	b.m = New(Options{MovePool: true, MachineOrders: perSecond})
+	b.m.Begin(b.now, 0)
+	b.m.Configure(b.now, testConfig())
+	var entries []MachineEntry
+	for i := range machines {
+		id := fmt.Sprintf("w%04d", i)
+		b.addWorker(id, "pots")
+		entries = append(entries, MachineEntry{
+			ID: "m-" + id, Pool: "pots", Worker: id, Capacity: setup.Resources{CPU: 4000, MemMB: 8000},
+		})
+	}
+	b.list()
+	b.answerLooks()
+	b.m.ListMachines(b.now, b.now, entries)
+	return b
+}
+
+// Pattern: thousands of machines that nobody needs, at a platform that takes 64 orders to machines in a second.
+func TestOrdersToMachinesKeepWithinThePlatformsRate(t *testing.T) {
+	const perSecond, seconds = 64, 5
+	b := idleFleet(t, 1000, perSecond)
+	b.submit("a", oneCore(1))
+	b.answerStarts(OK)
+	given := 0
+	for range seconds * 20 {
+		b.pass(time.Second / 20)
+		b.answerLooks()
+		for _, o := range take[MoveMachine](b) {
+			given++
+			b.m.Apply(b.now, MoveReport{Order: o, Answer: OK})
+		}
+	}
+	assert.Assert(t, given > perSecond*orderReserve && given <= perSecond*(seconds+1), "%d orders", given)
+}
+
+// Pattern: machines that nobody needs, beside a pool that lacks some.
+func TestMachinesThatALackingPoolNeedsGoFirst(t *testing.T) {
+	var budget orderBudget
+	budget.fill(start, 64)
+	for budget.allows(64, true) {
+		budget.spend()
+	}
+	urgent := 0
+	for ; budget.allows(64, false); urgent++ {
+		budget.spend()
+	}
+	assert.Equal(t, urgent, 32)
+	budget.fill(start.Add(time.Second), 64)
+	assert.Assert(t, budget.allows(64, true))
+	budget.fill(start.Add(time.Hour), 64)
+	assert.Equal(t, budget.left, 64.0, "an hour at rest is no reason for a burst")
+}
--- a/core/sched/machine.go
+++ b/core/sched/machine.go
@@ -49,6 +49,7 @@
 	strain    strainMeter
 	window    startWindow
 	flow      flowMeter
+	budget    orderBudget
 	demand    map[string]*poolDemand
 
 	// What came out since it was last taken.
--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -155,6 +155,7 @@
 		return
 	}
 	m.planned = now
+	m.budget.fill(now, m.options.MachineOrders)
 	byMachine := m.workersByMachine()
 	m.settleMachines(now, byMachine)
 	demand := m.measureDemand(now, byMachine)
@@ -296,6 +297,7 @@
 
 // orderMachine notes an order to a machine.
 func (m *Machine) orderMachine(now time.Time, h *machine, w *worker, o Order) {
+	m.budget.spend()
 	h.ordered, h.answered = now, time.Time{}
 	if w != nil {
 		w.leave()
--- a/core/sched/moves.go
+++ b/core/sched/moves.go
@@ -82,7 +82,7 @@
 		d.reach = (float64(d.machines+len(donors))*d.perVM - d.held) * fillShare
 	}
 	for _, d := range byShortage(demand) {
-		for d.machines < d.need && len(donors) > 0 {
+		for d.machines < d.need && len(donors) > 0 && m.budget.allows(m.options.MachineOrders, false) {
 			h := donors[0]
 			donors = donors[1:]
 			if h.entry.Pool == d.name {
@@ -165,7 +165,7 @@
 	}
 	for _, w := range d.idle {
 		h := m.machines[w.entry.Machine]
-		if d.machines <= d.need {
+		if d.machines <= d.need || !m.budget.allows(m.options.MachineOrders, true) {
 			return
 		}
 		if h == nil || !m.movable(now, h) || w.cordoned {
--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -13,6 +13,8 @@
 	Migration   time.Duration // how long a machine is away when it moves
 	StopLimit   time.Duration // a worker takes at most this long to stop a task
 	MovePool    bool          // machines may be moved between pools
+	// MachineOrders is how many orders to machines the platform takes in a second.
+	MachineOrders float64
 }
 
 // Defaults of Options.
@@ -25,6 +27,8 @@
 	defaultMaintenance = 2 * time.Second
 	defaultMigration   = 1500 * time.Millisecond
 	defaultStopLimit   = 400 * time.Millisecond
+	// Orders in a second.
+	defaultMachineOrders = 50.0
 )
 
 func (o Options) withDefaults() Options {
@@ -45,6 +49,9 @@
 			*d.field = d.fallback
 		}
 	}
+	if o.MachineOrders == 0 {
+		o.MachineOrders = defaultMachineOrders
+	}
 	return o
 }
 
