--- /dev/null
+++ b/core/sched/turns_test.go
@@ -0,0 +1,166 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Pattern: turns. Each pool asks five times its mean for some seconds, the pools one after the other.
+func TestTurnsAreForecastOnceAPoolHadTwo(t *testing.T) {
+	var p turnPlan
+	const turn, cycle = 4 * time.Second, 16 * time.Second
+	now := start
+	expected := func(pool string) float64 { return p.expect(now, pool, 100) }
+	pass := func(until time.Duration) {
+		for ; now.Before(start.Add(until)); now = now.Add(100 * time.Millisecond) {
+			at := now.Sub(start) % cycle
+			for i, pool := range []string{"pots", "desks"} {
+				if begin := time.Duration(i) * turn; at >= begin && at < begin+turn {
+					p.arrived(now, pool, 20)
+				}
+				expected(pool)
+			}
+		}
+	}
+	pass(time.Second)
+	assert.Assert(t, expected("pots") >= 125, "a turn of unknown height asks for more than the pool has: %v", expected("pots"))
+	pass(8 * time.Second)
+	assert.Assert(t, expected("pots") < 10, "the turn is over: %v", expected("pots"))
+	pass(cycle + time.Second)
+	assert.Assert(t, expected("desks") < 10)
+	pass(cycle + turn - time.Second)
+	assert.Assert(t, expected("desks") > 150, "machines are asked for before the turn begins: %v", expected("desks"))
+	pass(cycle + 2*turn + 4*time.Second)
+	assert.Assert(t, expected("desks") < 10)
+}
+
+// Pattern: hundreds of machines that are listed over some seconds, before the first turn.
+func TestFirstTurnIsAsHighAsTheWholePoolAllows(t *testing.T) {
+	var p turnPlan
+	now := start
+	for cores := 100.0; cores <= 1000; cores += 100 {
+		p.expect(now, "pots", cores)
+		now = now.Add(100 * time.Millisecond)
+	}
+	p.expect(now, "pots", 300)
+	for range 10 {
+		now = now.Add(50 * time.Millisecond)
+		p.arrived(now, "pots", 30)
+	}
+	assert.Assert(t, p.expect(now, "pots", 300) >= 1000*firstPeakShare)
+	p.expect(now, "pots", 2000)
+	assert.Equal(t, p.trend("pots").home, 1000.0, "machines that come for a turn are not of the pool")
+}
+
+// Pattern: a turn whose work grows for seconds. Machines are asked for by what will come when they have arrived.
+func TestGrowingTurnIsMetAhead(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		rate     func(seconds float64) float64 // core-seconds in a second
+		at       time.Duration
+		least    float64
+		most     float64
+	}{
+		{"grows", func(s float64) float64 { return 400 * s }, 2 * time.Second, 1300, 1700},
+		{"grows no higher than turns do", func(s float64) float64 { return 2000 * s }, 2 * time.Second, 2 * 1000 * firstPeakShare, 4000},
+		{"even", func(float64) float64 { return 1500 }, 3 * time.Second, 1250, 1650},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			var p turnPlan
+			p.expect(start, "pots", 1000)
+			const step = 10 * time.Millisecond
+			now := start
+			for ; now.Before(start.Add(s.at)); now = now.Add(step) {
+				p.arrived(now, "pots", s.rate(now.Sub(start).Seconds())*step.Seconds())
+				p.expect(now, "pots", 1000)
+			}
+			got := p.expect(now, "pots", 1000)
+			assert.Assert(t, got >= s.least && got <= s.most, "%v", got)
+		})
+	}
+}
+
+// Pattern: the first turn of a pool, after one of another pool.
+func TestFirstTurnIsAsHighAsThoseOfOtherPools(t *testing.T) {
+	var p turnPlan
+	p.trend("desks").home, p.trend("desks").peak = 500, 1000
+	p.expect(start, "pots", 300)
+	assert.Equal(t, p.height(p.trend("pots")), 600.0)
+	p.trend("pots").peak = 400
+	assert.Equal(t, p.height(p.trend("pots")), 400.0)
+}
+
+// Pattern: single large jobs between the turns.
+func TestOneLargeJobIsNoTurn(t *testing.T) {
+	var p turnPlan
+	p.expect(start, "pots", 100)
+	p.arrived(start.Add(time.Second), "pots", 90)
+	assert.Assert(t, p.expect(start.Add(time.Second), "pots", 100) < 120)
+	assert.Assert(t, !p.trend("pots").turning)
+}
+
+// Pattern: turns and a takeover.
+func TestTurnsOutliveTheirOwner(t *testing.T) {
+	var p, next turnPlan
+	p.trend("pots").peak, p.trend("pots").home, p.trend("pots").began = 300, 100, start
+	p.cycle = 16 * time.Second
+	next.fold(p.saved("pots", p.trend("pots")))
+	next.heard = start.Add(15 * time.Second)
+	assert.Assert(t, next.expect(start.Add(15*time.Second), "pots", 40) >= 300)
+	next.heard = start.Add(31 * time.Second)
+	assert.Equal(t, next.expect(start.Add(31*time.Second), "pots", 40), 0.0, "a turn that did not come is not expected again")
+}
+
+// Pattern: the callers leave.
+func TestNoTurnIsExpectedWithoutCallers(t *testing.T) {
+	var p turnPlan
+	p.fold(TurnSeen{Pool: "pots", BeganMs: start.UnixMilli(), Peak: 300, Home: 100, CycleMs: 16_000})
+	now := start.Add(15 * time.Second)
+	p.heard = now.Add(-quietAfter)
+	assert.Assert(t, p.expect(now, "pots", 40) >= 300)
+	p.heard = p.heard.Add(-time.Millisecond)
+	assert.Equal(t, p.expect(now, "pots", 40), 0.0)
+}
+
+// Pattern: turns that an outage hid, and a burst between two turns.
+func TestCycleIsThatOfMostTurns(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		between  []time.Duration
+		expected time.Duration
+	}{
+		{"alike", []time.Duration{18 * time.Second, 19 * time.Second, 17 * time.Second}, 17 * time.Second},
+		{"one was hidden", []time.Duration{18 * time.Second, 36 * time.Second}, 18 * time.Second},
+		{"a burst", []time.Duration{18 * time.Second, 7 * time.Second, 11 * time.Second}, 18 * time.Second},
+		{"another rhythm", []time.Duration{18 * time.Second, 25 * time.Second, 26 * time.Second}, 26 * time.Second},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			var p turnPlan
+			for _, d := range s.between {
+				p.learnCycle(d)
+			}
+			assert.Equal(t, p.cycle, s.expected)
+		})
+	}
+}
+
+// Pattern: a takeover in the middle of a turn.
+func TestTurnGoesOnUnderANewOwner(t *testing.T) {
+	var p turnPlan
+	p.fold(TurnSeen{Pool: "pots", BeganMs: start.UnixMilli(), Peak: 300, Home: 100, CycleMs: 16_000})
+	now := start.Add(2 * time.Second)
+	for range 10 {
+		p.arrived(now, "pots", 25)
+		now = now.Add(100 * time.Millisecond)
+		p.expect(now, "pots", 100)
+	}
+	assert.Equal(t, p.cycle, 16*time.Second, "it is no second turn")
+	assert.Assert(t, p.expect(now, "pots", 100) >= 300)
+	now = now.Add(4 * time.Second)
+	p.expect(now, "pots", 100)
+	assert.Equal(t, p.trend("pots").peak, 300.0, "what was not seen whole teaches nothing")
+}
