--- a/core/sched/intake.go
+++ b/core/sched/intake.go
@@ -17,18 +17,18 @@
 // String returns the verdict's name.
 func (v Verdict) String() string { return [...]string{"accepted", "repeated", "overload"}[v] }
 
-// Submit takes a job, or says why not. A refused job may come back after the time returned.
-func (m *Machine) Submit(now time.Time, spec JobSpec) (Verdict, time.Duration) {
+// Submit takes a job, or says why not.
+func (m *Machine) Submit(now time.Time, spec JobSpec) (Verdict, Refusal) {
 	m.Called(now)
 	if _, known := m.jobs[spec.ID]; known {
-		return Repeated, 0
+		return Repeated, Refusal{}
 	}
 	spec.Excess = m.beyondShare(now, &spec)
-	if after, refuse := m.overloaded(&spec); refuse {
-		return Overload, after
+	if r, refused := m.overloaded(&spec); refused {
+		return Overload, r
 	}
 	m.accept(now, spec)
-	return Accepted, 0
+	return Accepted, Refusal{}
 }
 
 // TakeOver takes a job that a gate has accepted by way of the inbox, where it is stored.
--- a/core/sched/load.go
+++ b/core/sched/load.go
@@ -42,6 +42,9 @@
 // Rate returns how many core-seconds of work arrive in a second.
 func (l Load) Rate() float64 { return l.rate }
 
+// OpenJobs returns how many jobs are neither cancelled nor ended.
+func (m *Machine) OpenJobs() int { return len(m.open) }
+
 // Loads returns the load of every declared pool in order of name.
 func (m *Machine) Loads(now time.Time) []Load {
 	byName := map[string]*Load{}
--- a/core/sched/load_patterns_test.go
+++ b/core/sched/load_patterns_test.go
@@ -52,24 +52,26 @@
 		late     float64
 		excess   bool
 		refused  bool
+		cause    string
 	}{
-		{"idle pool", 0, 0, false, false},
-		{"late but useful", 400, 0, false, false},
-		{"useless", 600, 0, false, true},
-		{"late work goes behind it", 400, 900, false, false},
-		{"beyond the share, idle pool", 50, 0, true, false},
-		{"beyond the share, busy pool", 90, 0, true, true},
-		{"beyond the share, much of that kind waits", 10, 80, true, true},
+		{"idle pool", 0, 0, false, false, ""},
+		{"late but useful", 400, 0, false, false, ""},
+		{"useless", 600, 0, false, true, "pool-full"},
+		{"late work goes behind it", 400, 900, false, false, ""},
+		{"beyond the share, idle pool", 50, 0, true, false, ""},
+		{"beyond the share, busy pool", 90, 0, true, true, "share-used"},
+		{"beyond the share, much of that kind waits", 10, 80, true, true, "share-used"},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
 			m.demand = map[string]*poolDemand{"pots": {urgent: s.urgent, late: s.late, reach: 100}}
 			spec.Excess = s.excess
-			after, refused := m.overloaded(&spec)
+			r, refused := m.overloaded(&spec)
 			assert.Equal(t, refused, s.refused)
 			if refused {
-				assert.Assert(t, after.Seconds() >= s.urgent/100)
-				assert.Assert(t, !s.excess || after.Seconds() >= (s.urgent+s.late)/100)
+				assert.Assert(t, r.After().Seconds() >= s.urgent/100)
+				assert.Assert(t, !s.excess || r.After().Seconds() >= (s.urgent+s.late)/100)
+				assert.Equal(t, r.Cause(), s.cause)
 			}
 		})
 	}
@@ -209,8 +211,9 @@
 			b := newBench(t, 4)
 			b.m.strain.strain = s.strain
 			submit := func(id, team string) Verdict {
-				verdict, after := b.m.Submit(b.now, JobSpec{ID: id, Queue: "plans", Pool: "pots", Team: team, Steps: []StepSpec{oneCore(1)}, Slack: 1.6, TargetMs: 600})
-				assert.Equal(t, verdict == Overload, after > 0)
+				verdict, r := b.m.Submit(b.now, JobSpec{ID: id, Queue: "plans", Pool: "pots", Team: team, Steps: []StepSpec{oneCore(1)}, Slack: 1.6, TargetMs: 600})
+				assert.Equal(t, verdict == Overload, r.After() > 0)
+				assert.Equal(t, verdict == Overload, r.Cause() == "owner-busy")
 				return verdict
 			}
 			b.m.teamOf("floor").share = shareMeter{filled: b.now}
@@ -294,6 +297,7 @@
 	_, refused := m.overloaded(&spec)
 	assert.Assert(t, !refused, "the pools have room")
 	m.strain.strain = strained
-	after, refused := m.overloaded(&spec)
-	assert.Assert(t, refused && after >= 10*time.Second)
+	r, refused := m.overloaded(&spec)
+	assert.Assert(t, refused && r.After() >= 10*time.Second)
+	assert.Equal(t, r.Cause(), "owner-busy")
 }
--- a/core/sched/overload.go
+++ b/core/sched/overload.go
@@ -47,31 +47,31 @@
 	return !m.teamOf(spec.Team).share.take(now, t.Weight)
 }
 
-// overloaded tells whether a new job could not be done in any useful time, and when to come back.
-func (m *Machine) overloaded(spec *JobSpec) (time.Duration, bool) {
+// overloaded tells whether a new job could not be done in any useful time, and why.
+func (m *Machine) overloaded(spec *JobSpec) (Refusal, bool) {
 	if spec.Lasting() || spec.Timed() {
-		return 0, false
+		return Refusal{}, false
 	}
+	spread := spreadOf(spec.ID)
 	if m.Strain() >= exhausted || spec.Excess && m.Strain() >= strained {
-		return retrySpread + spreadOf(spec.ID), true
+		return Refusal{after: retrySpread + spread, cause: ownerBusy}, true
 	}
 	d := m.demand[spec.Pool]
 	if d == nil || d.reach <= 0 {
-		return 0, false
+		return Refusal{}, false
 	}
-	ahead, most := d.urgent, usefulWait(spec)
+	r := Refusal{cause: poolFull, ahead: d.urgent, rate: d.reach}
+	most := usefulWait(spec)
 	if spec.Excess {
-		ahead, most = d.urgent+d.late, excessWait
+		r = Refusal{cause: shareUsed, ahead: d.urgent + d.late, rate: d.reach}
+		most = excessWait
 	}
-	wait := time.Duration(ahead / d.reach * float64(time.Second))
 	if m.Strain() >= strained && m.flow.rate > 0 {
 		// The owner is what limits all pools together.
-		wait = max(wait, time.Duration(m.urgentWork()/m.flow.rate*float64(time.Second)))
+		r = longer(r, Refusal{cause: ownerBusy, ahead: m.urgentWork(), rate: m.flow.rate})
 	}
-	if wait <= most {
-		return 0, false
-	}
-	return wait + spreadOf(spec.ID), true
+	r.after = r.wait() + spread
+	return r, r.wait() > most
 }
 
 // urgentWork returns the core-seconds of all pools that can still be in time.
--- /dev/null
+++ b/core/sched/refusal.go
@@ -0,0 +1,54 @@
+package sched
+
+import "time"
+
+// refusalCause is what kept a job from being taken.
+type refusalCause uint8
+
+const (
+	notRefused refusalCause = iota
+	poolFull                // the work ahead of it in its pool takes too long
+	shareUsed               // it is beyond its team's share, and its pool is busy
+	ownerBusy               // the owner has no processor time for it
+)
+
+// String returns the cause's name.
+func (c refusalCause) String() string {
+	return [...]string{"none", "pool-full", "share-used", "owner-busy"}[c]
+}
+
+// Refusal says why a job was not taken and when it may come back; the zero value refuses nothing.
+type Refusal struct {
+	after time.Duration
+	cause refusalCause
+	ahead float64 // core-seconds
+	rate  float64 // core-seconds in a second
+}
+
+// After returns the time after which the job may come back.
+func (r Refusal) After() time.Duration { return r.after }
+
+// Cause names what decided.
+func (r Refusal) Cause() string { return r.cause.String() }
+
+// Ahead returns the core-seconds of work that go before the job, 0 if they did not decide.
+func (r Refusal) Ahead() float64 { return r.ahead }
+
+// Rate returns the core-seconds of work that are done in a second, 0 if they did not decide.
+func (r Refusal) Rate() float64 { return r.rate }
+
+// wait returns how long the work ahead takes.
+func (r Refusal) wait() time.Duration {
+	if r.rate <= 0 {
+		return 0
+	}
+	return time.Duration(r.ahead / r.rate * float64(time.Second))
+}
+
+// longer returns the refusal with the longer wait.
+func longer(a, b Refusal) Refusal {
+	if b.wait() > a.wait() {
+		return b
+	}
+	return a
+}
--- a/core/sched/strain.go
+++ b/core/sched/strain.go
@@ -103,6 +103,9 @@
 // Strain returns how long the quickest of the last orders took.
 func (m *Machine) Strain() time.Duration { return m.strain.strain }
 
+// StartsUnderWay returns how many starts have no answer yet, and how many may be under way at once.
+func (m *Machine) StartsUnderWay() (n, most int) { return m.window.given, m.window.most }
+
 // endsGather returns the least time between two looks at a worker.
 func (m *Machine) endsGather() time.Duration {
 	if m.Strain() < strained {
--- a/gate/lead/answers.go
+++ b/gate/lead/answers.go
@@ -57,11 +57,13 @@
 		c.reply <- Refuse(codes.JobStoreAway, storeAwayRetry)
 		return
 	}
-	verdict, after := t.machine.Submit(now, c.spec)
+	verdict, refusal := t.machine.Submit(now, c.spec)
 	countJob(verdict.String())
 	if verdict == sched.Overload {
-		klog.InfoS("job-refused", "job", c.spec.ID, "queue", c.spec.Queue, "team", c.spec.Team, "retry-after-ms", after.Milliseconds())
-		c.reply <- Refuse(codes.JobPoolFull, after)
+		klog.InfoS("job-refused", "job", c.spec.ID, "queue", c.spec.Queue, "team", c.spec.Team, "why", refusal.Cause(),
+			"pool", c.spec.Pool, "ahead-core-seconds", int(refusal.Ahead()), "done-in-a-second", int(refusal.Rate()),
+			"strain-ms", t.machine.Strain().Milliseconds(), "retry-after-ms", refusal.After().Milliseconds())
+		c.reply <- Refuse(codes.JobPoolFull, refusal.After())
 		return
 	}
 	tasks, coreSeconds := c.spec.Size()
--- a/gate/lead/term.go
+++ b/gate/lead/term.go
@@ -44,6 +44,7 @@
 	configs      <-chan struct{} // ticks on each declaration
 	storingSince time.Time
 	loadsLogged  time.Time
+	loop         loopMeter
 }
 
 func newTerm(s *Service, epoch int64) *term {
@@ -126,6 +127,7 @@
 		t.pump(ctx)
 		t.logDecisions()
 		t.logLoads(now)
+		t.loop.rests(time.Now())
 		switch {
 		case t.machine.Fenced():
 			return "a worker or machine has seen a higher fencing token"
@@ -136,22 +138,25 @@
 		case <-ctx.Done():
 			return "the gate stops"
 		case <-ticks.C():
+			t.loop.works(time.Now())
 		case c := <-t.calls:
-			t.handle(time.Now(), c)
+			t.handle(t.loop.works(time.Now()), c)
 		case r := <-t.reports:
-			t.machine.Apply(time.Now(), r)
+			t.machine.Apply(t.loop.works(time.Now()), r)
 		case s := <-t.stored:
+			t.loop.works(time.Now())
 			if why := t.finish(ctx, s); why != "" {
 				return why
 			}
 		case entries := <-t.lists:
+			t.loop.works(time.Now())
 			t.listWorkers(entries)
 		case l := <-t.machines:
-			t.machine.ListMachines(time.Now(), l.asked, l.entries)
+			t.machine.ListMachines(t.loop.works(time.Now()), l.asked, l.entries)
 		case page := <-t.inbox:
-			t.takeInbox(time.Now(), page)
+			t.takeInbox(t.loop.works(time.Now()), page)
 		case <-t.configs:
-			t.declare(time.Now())
+			t.declare(t.loop.works(time.Now()))
 		}
 		t.drain()
 	}
@@ -216,6 +221,7 @@
 		return
 	}
 	t.loadsLogged = now
+	t.logOwnLoad(now)
 	loads := t.machine.Loads(now)
 	publish(t.machine, loads, len(t.held))
 	for _, l := range loads {
@@ -226,6 +232,20 @@
 	}
 }
 
+// logOwnLoad tells what the owner itself has to do: whether its processor, the log or its right to order holds work up.
+func (t *term) logOwnLoad(now time.Time) {
+	busy, longest := t.loop.take()
+	storing := time.Duration(0)
+	if t.storing {
+		storing = now.Sub(t.storingSince)
+	}
+	underWay, most := t.machine.StartsUnderWay()
+	klog.InfoS("owner-load", "epoch", t.epoch, "busy-ms", busy.Milliseconds(), "longest-turn-ms", longest.Milliseconds(),
+		"strain-ms", t.machine.Strain().Milliseconds(), "starts-under-way", underWay, "starts-at-most", most,
+		"may-order", t.deps.Keeper.MayOrder(), "orders-held", len(t.held), "storing-ms", storing.Milliseconds(),
+		"reports-waiting", len(t.reports), "calls-waiting", len(t.calls), "open-jobs", t.machine.OpenJobs())
+}
+
 func (t *term) logDecisions() {
 	for _, d := range t.machine.Decisions() {
 		klog.InfoS(d.What, "task", d.Task, "worker", d.Worker, "why", d.Why)
