--- a/core/sched/fold.go
+++ b/core/sched/fold.go
@@ -6,42 +6,6 @@
 	"github.com/rotisserie/eris"
 )
 
-// Replay applies a record of the journal; records must come in order.
-func (m *Machine) Replay(r Record) error {
-	switch r := r.(type) {
-	case JobAccepted:
-		m.foldAccepted(r)
-	case JobCancelled:
-		m.foldCancelled(r)
-	case TaskStarted:
-		return m.foldStarted(r)
-	case TaskEnded:
-		m.foldEnded(r)
-	case InboxRead:
-		m.inbox = r.Offset
-	case SnapshotBegun:
-		m.reset()
-		m.inbox = r.Offset
-	case JobSaved:
-		m.foldSaved(r)
-	case WaveSeen:
-		m.foldWaveSeen(r)
-	case ServiceOrdered:
-		m.inService[r.Machine] = r.Wave
-	case MachineServed:
-		m.foldServed(r)
-	case TurnSeen:
-		m.turns.fold(r)
-	case SnapshotEnded:
-		if len(m.jobs) != r.Jobs {
-			return eris.Errorf("snapshot of %d jobs replayed to %d", r.Jobs, len(m.jobs))
-		}
-	default:
-		return eris.Errorf("record %T is not known", r)
-	}
-	return nil
-}
-
 // reset forgets all state that comes from the journal.
 func (m *Machine) reset() {
 	clear(m.jobs)
--- a/core/sched/machine.go
+++ b/core/sched/machine.go
@@ -26,6 +26,7 @@
 	served    map[servedKey]bool
 	inService map[string]int64 // waves that machines were told to go down for and are not known to have served
 	turns     turnPlan
+	snapshot  openSnapshot // while the journal is replayed
 
 	// From workers and the platform.
 	workers        map[string]*worker
--- a/core/sched/record.go
+++ b/core/sched/record.go
@@ -73,7 +73,7 @@
 	CycleMs int64   // time between two turns of a pool
 }
 
-// SnapshotBegun says that the whole state follows, up to SnapshotEnded; what was before counts no more.
+// SnapshotBegun says that the whole state follows, up to SnapshotEnded; once that is there, what was before counts no more.
 type SnapshotBegun struct {
 	_      struct{} `cbor:",toarray"`
 	Offset int64    // inbox offset
--- a/core/sched/snapshot.go
+++ b/core/sched/snapshot.go
@@ -1,13 +1,17 @@
 package sched
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Snapshot returns records that replay to the present state of the jobs.
 func (m *Machine) Snapshot() []Record {
 	records := make([]Record, 0, len(m.jobs)+2)
 	records = append(records, SnapshotBegun{Offset: m.inbox})
-	for _, j := range m.jobs {
-		records = append(records, saveJob(j))
+	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
+		records = append(records, saveJob(m.jobs[id]))
 	}
 	for id := range m.early {
 		records = append(records, JobCancelled{ID: id})
--- a/core/sched/walk_harness_test.go
+++ b/core/sched/walk_harness_test.go
@@ -15,6 +15,7 @@
 // It checks what must always hold from what the workers and callers see.
 type world struct {
 	rng     *rand.Rand
+	saves   *rand.Rand // decides on snapshots, apart from the rest
 	now     time.Time
 	m       *Machine
 	token   int64
@@ -67,7 +68,7 @@
 
 func newWorld(seed uint64) *world {
 	w := &world{
-		rng: rand.New(rand.NewPCG(seed, seed)), now: start, workers: map[string]*simWorker{}, told: map[string]State{},
+		rng: rand.New(rand.NewPCG(seed, seed)), saves: rand.New(rand.NewPCG(seed, 0)), now: start, workers: map[string]*simWorker{}, told: map[string]State{},
 		noted: map[TaskID]time.Time{}, cancels: map[string]bool{}, specs: map[string]JobSpec{}, unquiet: true,
 	}
 	for i := range simWorkers {
@@ -86,9 +87,11 @@
 	w.faults = append(w.faults, w.now.Sub(start).String()+": "+fmt.Sprintf(format, args...))
 }
 
-// takeOver begins a new ownership from what is stored; what the owner before had not stored is lost.
+// takeOver begins a new ownership from what is stored; what the owner before had not stored is lost. Sometimes it was
+// lost after, or in the middle of, a snapshot.
 func (w *world) takeOver() {
 	w.token++
+	w.saveSome()
 	w.m = New(Options{})
 	for _, r := range w.journal {
 		if err := w.m.Replay(r); err != nil {
@@ -100,6 +103,31 @@
 	w.list()
 }
 
+// saveSome puts a snapshot of the stored state on the journal, or the beginning of one.
+func (w *world) saveSome() {
+	const (
+		none = iota
+		whole
+		begun
+		kinds
+	)
+	kind := w.saves.IntN(kinds)
+	if kind == none {
+		return
+	}
+	stored := New(Options{})
+	for _, r := range w.journal {
+		if err := stored.Replay(r); err != nil {
+			w.fault("replay: %v", err)
+		}
+	}
+	snapshot := stored.Snapshot()
+	if kind == begun {
+		snapshot = snapshot[:w.saves.IntN(len(snapshot))]
+	}
+	w.journal = append(w.journal, snapshot...)
+}
+
 func (w *world) list() {
 	entries := map[string]WorkerEntry{}
 	for id, s := range w.workers {
