Machines go to work that can be in time before late work of other pools

Cause: after a flood or an outage a pool holds thousands of tasks that are late already.

ration now shares in three ranks: work that is there and can be in time with what lasts, expected work, late work.

--- a/core/sched/demand.go
+++ b/core/sched/demand.go
@@ -13,8 +13,9 @@
 	name     string
 	machines int     // up or on their way
 	perVM    float64 // cores of a machine
-	need     int     // machines needed, also for work that is expected
-	present  int     // machines needed for the work that is there
+	need     int     // machines needed for all work, there or expected
+	timely   int     // machines needed for what lasts and for the work there that can still be in time
+	soon     int     // the same with work that is expected
 	least    int     // machines needed for what lasts
 	coming   int     // machines on their way
 	idle     []*worker
@@ -75,14 +76,16 @@
 		}
 		expected := m.turns.expect(now, name, float64(d.machines)*d.perVM)
 		d.urgent, d.late, d.held = urgent[name], late[name], held[name]
-		there := d.held + d.late/lateHorizon.Seconds()
+		late := d.late / lateHorizon.Seconds()
 		present := max(d.urgent/workHorizon.Seconds(), m.turns.trend(name).rate(now))
 		d.least = max(d.machinesFor(d.held), spread[name])
-		d.present = max(d.machinesFor(there+present), d.least)
-		d.need = max(d.machinesFor(there+max(present, expected)), d.least)
+		d.timely = max(d.machinesFor(d.held+present), d.least)
+		d.soon = max(d.machinesFor(d.held+max(present, expected)), d.least)
+		d.need = max(d.machinesFor(d.held+max(present, expected)+late), d.least)
 		if stuck[name] && d.coming == 0 {
-			d.present = max(d.present, d.machines+1)
-			d.need = max(d.need, d.present)
+			d.timely = max(d.timely, d.machines+1)
+			d.soon = max(d.soon, d.timely)
+			d.need = max(d.need, d.timely)
 		}
 	}
 }
@@ -156,12 +159,14 @@
 }
 
 // ration shares the machines among the pools if there are not enough, and tells whether a pool lacks machines. Work that
-// is there goes before work that is expected; each is served in proportion to the needs.
+// is there and can be in time goes first, then work that is expected, then late work; each is served in proportion to the
+// needs.
 func ration(demand map[string]*poolDemand) (lacking bool) {
-	needed, present, machines := 0, 0, 0
+	needed, timely, soon, machines := 0, 0, 0, 0
 	for _, d := range demand {
 		needed += d.need
-		present += d.present
+		timely += d.timely
+		soon += d.soon
 		machines += d.machines
 		lacking = lacking || d.machines < d.need
 	}
@@ -169,11 +174,14 @@
 		return lacking
 	}
 	for _, d := range demand {
-		if present >= machines {
-			d.need = max(min(d.present, d.least), d.present*machines/present)
-			continue
+		switch {
+		case timely >= machines:
+			d.need = max(min(d.timely, d.least), d.timely*machines/timely)
+		case soon >= machines:
+			d.need = d.timely + (d.soon-d.timely)*(machines-timely)/(soon-timely)
+		default:
+			d.need = d.soon + (d.need-d.soon)*(machines-soon)/(needed-soon)
 		}
-		d.need = d.present + (d.need-d.present)*(machines-present)/(needed-present)
 	}
 	return lacking
 }
--- a/core/sched/load_patterns_test.go
+++ b/core/sched/load_patterns_test.go
@@ -95,8 +95,8 @@
 		pots, desks poolDemand
 		expected    [2]int
 	}{
-		{"enough for what is there", poolDemand{machines: 30, need: 40, present: 10}, poolDemand{machines: 10, need: 20, present: 20}, [2]int{20, 20}},
-		{"too few for what is there", poolDemand{machines: 30, need: 90, present: 10}, poolDemand{machines: 10, need: 70, present: 70}, [2]int{5, 35}},
+		{"enough for what is there", poolDemand{machines: 30, need: 40, soon: 40, timely: 10}, poolDemand{machines: 10, need: 20, soon: 20, timely: 20}, [2]int{20, 20}},
+		{"too few for what is there", poolDemand{machines: 30, need: 90, soon: 90, timely: 10}, poolDemand{machines: 10, need: 70, soon: 70, timely: 70}, [2]int{5, 35}},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
@@ -106,6 +106,27 @@
 	}
 }
 
+// Pattern: a pool's backlog of late work, left by a flood or an outage, as another pool's turn comes.
+func TestLateWorkLeavesMachinesToWorkThatCanBeInTime(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		late     poolDemand // of the pool with the backlog
+		turn     poolDemand
+		expected [2]int
+	}{
+		{"the turn is there", poolDemand{machines: 36, need: 60, soon: 4, timely: 4}, poolDemand{machines: 4, need: 30, soon: 30, timely: 30}, [2]int{10, 30}},
+		{"the turn is expected", poolDemand{machines: 36, need: 60, soon: 4, timely: 4}, poolDemand{machines: 4, need: 30, soon: 30, timely: 2}, [2]int{10, 30}},
+		{"the turn alone is too much", poolDemand{machines: 36, need: 60, soon: 4, timely: 4}, poolDemand{machines: 4, need: 76, soon: 76, timely: 76}, [2]int{2, 38}},
+		{"room for both", poolDemand{machines: 36, need: 20, soon: 4, timely: 4}, poolDemand{machines: 4, need: 10, soon: 10, timely: 10}, [2]int{20, 10}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			assert.Assert(t, ration(map[string]*poolDemand{"pots": &s.late, "desks": &s.turn}))
+			assert.Equal(t, [2]int{s.late.need, s.turn.need}, s.expected)
+		})
+	}
+}
+
 // Pattern: one pool's turn ends as the other's begins.
 func TestIdleMachinesMoveToThePoolThatLacksThem(t *testing.T) {
 	b := newBench(t, 6)
