--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 DEPLOY_BUILD = $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)
 
-.PHONY: help build deploy-build test race vet format lint generate check-generated demo bench prove policy capacity clean
+.PHONY: help build deploy-build test soak race vet format lint generate check-generated demo bench prove policy capacity clean
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' Makefile | sed 's/:.*##/ -/'
@@ -19,8 +19,17 @@
 	$(DEPLOY_BUILD)
 
 test: ## run all tests; those on real processes anew each time, since they run programs that the test cache does not know
-	go test $$(go list $(PACKAGES) | grep -v stand/prove)
+	go test -skip TestSoak $$(go list $(PACKAGES) | grep -v stand/prove)
 	go test -count=1 ./stand/prove
+	go test -count=1 -run TestSoak ./platform
+
+SEEDS ?= 50
+FIRST ?= 1
+SOAK_LOGS ?= $(BIN)/soak
+
+soak: ## run the fault soak by hand: make soak SEEDS=50 FIRST=1; logs of seeds that fail stay in build/soak
+	@mkdir -p $(SOAK_LOGS)
+	SOAK_LOGS=$(abspath $(SOAK_LOGS)) SOAK_SEEDS=$(SEEDS) SOAK_FIRST=$(FIRST) go test -count=1 -run TestSoak -v -parallel 6 -timeout 60m ./platform
 
 race: ## run all tests with the race detector
 	go test -race $(PACKAGES)
