Refuse what neither can be in time nor would be done soon; count each team's limit

Callers saw: jobs accepted that wait for a minute beside idle workers. Cause: admission compared the pool's work in time with the pool's cores. A team with a limit of 24 cores in a pool of 160 was taken in for 160; late work did not count at all, though a job that can't be in time joins it; and without a list of machines there was no admission, since what a pool has was counted by machines only. Ruled out by counts each two seconds: the limit was used in full (22 to 24 of 24 cores), so nothing but what was accepted was wrong.

A job is taken if it can be in time, since it goes before late work, or if all that waits, late work too, is done while it is still of use; both within the pool's cores and the team's limit. A pool counts with the machines that ration gives it. Before the first list of machines workers count.

--- a/core/sched/demand.go
+++ b/core/sched/demand.go
@@ -20,17 +20,60 @@
 	coming   int     // machines on their way
 	idle     []*worker
 	held     float64 // cores of lasting tasks
-	urgent   float64 // core-seconds of work that can still be in time
-	late     float64 // core-seconds of work that is late or beyond its team's share
 	reach    float64 // cores that the pool has or can get from others
+	backlog
 }
 
+// backlog is work that is not done, in core-seconds.
+type backlog struct {
+	urgent float64 // it can still be in time
+	late   float64 // it is late or beyond its team's share
+}
+
+func (b backlog) plus(work float64, late bool) backlog {
+	if late {
+		b.late += work
+	} else {
+		b.urgent += work
+	}
+	return b
+}
+
+func (b backlog) all() float64 { return b.urgent + b.late }
+
 // measureDemand compares what each pool has with what its work needs.
 func (m *Machine) measureDemand(now time.Time, byMachine map[string]*worker) map[string]*poolDemand {
 	demand := map[string]*poolDemand{}
 	for _, name := range m.cfg.Pools() {
 		demand[name] = &poolDemand{name: name}
 	}
+	if m.machinesListed.IsZero() {
+		m.countWorkers(demand)
+	} else {
+		m.countMachines(now, demand, byMachine)
+	}
+	m.measureNeeds(now, demand)
+	for _, d := range demand {
+		d.reach = d.coresOf(d.machines)
+	}
+	m.saveTurns()
+	return demand
+}
+
+// countWorkers takes each worker for a machine that stays where it is, as long as the platform lists no machines.
+func (m *Machine) countWorkers(demand map[string]*poolDemand) {
+	for _, w := range m.byID {
+		d, found := demand[w.entry.Pool]
+		if !found || !w.healthy() {
+			continue
+		}
+		d.machines++
+		d.perVM = max(d.perVM, w.entry.Capacity.Cores())
+	}
+}
+
+// countMachines counts what each pool has, and what is on its way there.
+func (m *Machine) countMachines(now time.Time, demand map[string]*poolDemand, byMachine map[string]*worker) {
 	for _, h := range m.machineOrder {
 		pool := cmp.Or(h.heading, h.entry.Pool)
 		d, found := demand[pool]
@@ -49,33 +92,29 @@
 			d.idle = append(d.idle, w)
 		}
 	}
-	m.measureNeeds(now, demand)
-	m.saveTurns()
-	return demand
 }
 
 // measureNeeds fills in how many machines each pool needs.
 func (m *Machine) measureNeeds(now time.Time, demand map[string]*poolDemand) {
-	urgent, late, held := map[string]float64{}, map[string]float64{}, map[string]float64{}
-	spread, stuck := map[string]int{}, map[string]bool{}
+	held, spread, stuck := map[string]float64{}, map[string]int{}, map[string]bool{}
+	work, teams := map[string]backlog{}, map[string]backlog{}
 	for j := range m.open {
 		pool := m.poolNameOf(j)
 		batch, lasting := workLeft(j)
-		if j.late(now) {
-			late[pool] += batch
-		} else {
-			urgent[pool] += batch
-		}
+		late := j.late(now)
+		work[pool] = work[pool].plus(batch, late)
+		teams[j.spec.Team] = teams[j.spec.Team].plus(batch, late)
 		held[pool] += lasting
 		spread[pool] = max(spread[pool], workersFor(j))
 		stuck[pool] = stuck[pool] || lastingWaits(now, j)
 	}
+	m.teamWork = teams
 	for name, d := range demand {
 		if pool, declared := m.cfg.Pool(name); declared && pool.Standby || d.perVM == 0 {
 			continue
 		}
 		expected := m.turns.expect(now, name, float64(d.machines)*d.perVM)
-		d.urgent, d.late, d.held = urgent[name], late[name], held[name]
+		d.backlog, d.held = work[name], held[name]
 		late := d.late / lateHorizon.Seconds()
 		present := max(d.urgent/workHorizon.Seconds(), m.turns.trend(name).rate(now))
 		d.least = max(d.machinesFor(d.held), spread[name])
@@ -90,6 +129,11 @@
 	}
 }
 
+// coresOf returns how many cores so many machines of the pool have for work that ends by itself.
+func (d *poolDemand) coresOf(machines int) float64 {
+	return (float64(machines)*d.perVM - d.held) * fillShare
+}
+
 // machinesFor returns how many machines the pool needs for work that takes so many cores.
 func (d *poolDemand) machinesFor(cores float64) int {
 	return int(math.Ceil(cores/(d.perVM*fillShare))) + reserveMachines
--- a/core/sched/machine.go
+++ b/core/sched/machine.go
@@ -52,6 +52,7 @@
 	flow      flowMeter
 	budget    orderBudget
 	demand    map[string]*poolDemand
+	teamWork  map[string]backlog
 
 	// What came out since it was last taken.
 	out       Batch
--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -151,7 +151,7 @@
 
 // planMachines gives the orders for maintenance and moves that are due.
 func (m *Machine) planMachines(now time.Time) {
-	if now.Sub(m.planned) < planPeriod || m.machinesListed.IsZero() || m.workersListed.IsZero() || m.cfg.Version() == 0 || now.Sub(m.workersListed) < settleTime {
+	if now.Sub(m.planned) < planPeriod || m.workersListed.IsZero() || m.cfg.Version() == 0 || now.Sub(m.workersListed) < settleTime {
 		return
 	}
 	m.planned = now
@@ -160,6 +160,9 @@
 	m.settleMachines(now, byMachine)
 	demand := m.measureDemand(now, byMachine)
 	m.demand = demand
+	if m.machinesListed.IsZero() {
+		return
+	}
 	m.planWaves(now, byMachine, demand)
 	if m.options.MovePool {
 		m.planMoves(now, byMachine, demand)
--- a/core/sched/moves.go
+++ b/core/sched/moves.go
@@ -79,7 +79,7 @@
 	m.cede(standby, demand, rationed)
 	donors := m.donors(now, standby, byMachine, demand)
 	for _, d := range demand {
-		d.reach = (float64(d.machines+len(donors))*d.perVM - d.held) * fillShare
+		d.reach = d.coresOf(max(d.machines+len(donors), d.need))
 	}
 	for _, d := range byShortage(demand) {
 		for d.machines < d.need && len(donors) > 0 && m.budget.allows(m.options.MachineOrders, false) {
--- a/core/sched/overload.go
+++ b/core/sched/overload.go
@@ -47,7 +47,8 @@
 	return !m.teamOf(spec.Team).share.take(now, t.Weight)
 }
 
-// overloaded tells whether a new job could not be done in any useful time, and why.
+// overloaded tells whether a new job could not be done in any useful time, and why. A job that can be in time goes before
+// all late work; any other joins it, and is of use only while all that waits is done soon.
 func (m *Machine) overloaded(spec *JobSpec) (Refusal, bool) {
 	if spec.Lasting() || spec.Timed() {
 		return Refusal{}, false
@@ -60,18 +61,38 @@
 	if d == nil || d.reach <= 0 {
 		return Refusal{}, false
 	}
-	r := Refusal{cause: poolFull, ahead: d.urgent, rate: d.reach}
-	most := usefulWait(spec)
 	if spec.Excess {
-		r = Refusal{cause: shareUsed, ahead: d.urgent + d.late, rate: d.reach}
-		most = excessWait
+		r := Refusal{cause: shareUsed, ahead: d.all(), rate: d.reach}
+		r.after = r.wait() + spread
+		return r, r.wait() > excessWait
 	}
+	urgent := Refusal{cause: poolFull, ahead: d.urgent, rate: d.reach}
+	all := Refusal{cause: poolFull, ahead: d.all(), rate: d.reach}
 	if m.Strain() >= strained && m.flow.rate > 0 {
 		// The owner is what limits all pools together.
-		r = longer(r, Refusal{cause: ownerBusy, ahead: m.urgentWork(), rate: m.flow.rate})
+		urgent = longer(urgent, Refusal{cause: ownerBusy, ahead: m.urgentWork(), rate: m.flow.rate})
 	}
-	r.after = r.wait() + spread
-	return r, r.wait() > most
+	if limit := m.limitCores(spec.Team); limit > 0 {
+		work := m.teamWork[spec.Team]
+		urgent = longer(urgent, Refusal{cause: limitUsed, ahead: work.urgent, rate: limit})
+		all = longer(all, Refusal{cause: limitUsed, ahead: work.all(), rate: limit})
+	}
+	timely, useful := patience(spec)
+	if urgent.wait() <= timely || max(urgent.wait(), all.wait()) <= useful {
+		return Refusal{}, false
+	}
+	r := longer(urgent, all)
+	r.after = max(urgent.wait(), retrySpread) + spread
+	return r, true
+}
+
+// limitCores returns how many cores the team may use, 0 if there is no limit.
+func (m *Machine) limitCores(team string) float64 {
+	t, declared := m.cfg.Team(team)
+	if !declared || t.Limit.CPU == 0 {
+		return 0
+	}
+	return t.Limit.Cores()
 }
 
 // urgentWork returns the core-seconds of all pools that can still be in time.
@@ -83,12 +104,12 @@
 	return sum
 }
 
-// usefulWait returns how long a job may wait and still be of use to its caller.
-func usefulWait(spec *JobSpec) time.Duration {
+// patience returns how long a job may wait and be in time, and how long it may wait and still be of use to its caller.
+func patience(spec *JobSpec) (timely, useful time.Duration) {
 	j := job{spec: spec}
 	chain := j.chain(everyStep)
 	objective := time.Duration(spec.Slack*float64(chain)) + time.Duration(spec.TargetMs)*time.Millisecond
-	return uselessFactor*objective - chain
+	return objective - chain, uselessFactor*objective - chain
 }
 
 // spreadOf returns a time that differs from job to job.
--- a/core/sched/refusal.go
+++ b/core/sched/refusal.go
@@ -9,12 +9,13 @@
 	notRefused refusalCause = iota
 	poolFull                // the work ahead of it in its pool takes too long
 	shareUsed               // it is beyond its team's share, and its pool is busy
+	limitUsed               // the work ahead of it in its team takes too long within the team's limit
 	ownerBusy               // the owner has no processor time for it
 )
 
 // String returns the cause's name.
 func (c refusalCause) String() string {
-	return [...]string{"none", "pool-full", "share-used", "owner-busy"}[c]
+	return [...]string{"none", "pool-full", "share-used", "limit-used", "owner-busy"}[c]
 }
 
 // Refusal says why a job was not taken and when it may come back; the zero value refuses nothing.
