A team's limit counts without accelerators, and less what its lasting tasks hold

Read in the diff: the limit of cores was compared with work whose accelerators count as cores, so that a team with a limit on cores only would have been refused too early, and with the whole limit though lasting tasks hold a part of it.

--- a/core/sched/demand.go
+++ b/core/sched/demand.go
@@ -41,6 +41,22 @@
 
 func (b backlog) all() float64 { return b.urgent + b.late }
 
+// teamLoad is what a team's jobs take of its limit, without accelerators.
+type teamLoad struct {
+	backlog
+	held float64 // cores of lasting tasks
+}
+
+func (l teamLoad) plus(j *job, late bool) teamLoad {
+	batch, lasting := workLeft(j, processors)
+	l.backlog = l.backlog.plus(batch, late)
+	l.held += lasting
+	return l
+}
+
+// processors returns the cores without accelerators.
+func processors(r setup.Resources) float64 { return float64(r.CPU) / setup.MilliCores }
+
 // measureDemand compares what each pool has with what its work needs.
 func (m *Machine) measureDemand(now time.Time, byMachine map[string]*worker) map[string]*poolDemand {
 	demand := map[string]*poolDemand{}
@@ -97,18 +113,18 @@
 // measureNeeds fills in how many machines each pool needs.
 func (m *Machine) measureNeeds(now time.Time, demand map[string]*poolDemand) {
 	held, spread, stuck := map[string]float64{}, map[string]int{}, map[string]bool{}
-	work, teams := map[string]backlog{}, map[string]backlog{}
+	work, teams := map[string]backlog{}, map[string]teamLoad{}
 	for j := range m.open {
 		pool := m.poolNameOf(j)
-		batch, lasting := workLeft(j)
+		batch, lasting := workLeft(j, setup.Resources.Cores)
 		late := j.late(now)
 		work[pool] = work[pool].plus(batch, late)
-		teams[j.spec.Team] = teams[j.spec.Team].plus(batch, late)
+		teams[j.spec.Team] = teams[j.spec.Team].plus(j, late)
 		held[pool] += lasting
 		spread[pool] = max(spread[pool], workersFor(j))
 		stuck[pool] = stuck[pool] || lastingWaits(now, j)
 	}
-	m.teamWork = teams
+	m.teamLoads = teams
 	for name, d := range demand {
 		if pool, declared := m.cfg.Pool(name); declared && pool.Standby || d.perVM == 0 {
 			continue
@@ -152,13 +168,13 @@
 }
 
 // workLeft returns the core-seconds of a job's undone tasks that end by themselves, and the cores of those that last.
-func workLeft(j *job) (batch, lasting float64) {
+func workLeft(j *job, coresOf func(setup.Resources) float64) (batch, lasting float64) {
 	for _, r := range j.rounds {
 		for _, s := range r.steps {
 			if s.done() {
 				continue
 			}
-			cores := s.spec.Needs().Cores()
+			cores := coresOf(s.spec.Needs())
 			if s.spec.Lasting {
 				lasting += float64(s.spec.Count) * cores
 				continue
--- a/core/sched/machine.go
+++ b/core/sched/machine.go
@@ -52,7 +52,7 @@
 	flow      flowMeter
 	budget    orderBudget
 	demand    map[string]*poolDemand
-	teamWork  map[string]backlog
+	teamLoads map[string]teamLoad
 
 	// What came out since it was last taken.
 	out       Batch
--- a/core/sched/overload.go
+++ b/core/sched/overload.go
@@ -12,6 +12,8 @@
 	excessWait = 700 * time.Millisecond
 	// Callers are spread over this time when they come back.
 	retrySpread = time.Second
+	// Cores that a team's limit is taken to leave at least.
+	leastLimit = 0.1
 	// A team may hand in this many seconds of its share at once.
 	shareBurst = 4 * time.Second
 )
@@ -73,9 +75,9 @@
 		urgent = longer(urgent, Refusal{cause: ownerBusy, ahead: m.urgentWork(), rate: m.flow.rate})
 	}
 	if limit := m.limitCores(spec.Team); limit > 0 {
-		work := m.teamWork[spec.Team]
-		urgent = longer(urgent, Refusal{cause: limitUsed, ahead: work.urgent, rate: limit})
-		all = longer(all, Refusal{cause: limitUsed, ahead: work.all(), rate: limit})
+		load := m.teamLoads[spec.Team]
+		urgent = longer(urgent, Refusal{cause: limitUsed, ahead: load.urgent, rate: limit})
+		all = longer(all, Refusal{cause: limitUsed, ahead: load.all(), rate: limit})
 	}
 	timely, useful := patience(spec)
 	if urgent.wait() <= timely || max(urgent.wait(), all.wait()) <= useful {
@@ -86,13 +88,13 @@
 	return r, true
 }
 
-// limitCores returns how many cores the team may use, 0 if there is no limit.
+// limitCores returns how many cores the team's limit leaves to work that ends by itself, 0 if there is no limit.
 func (m *Machine) limitCores(team string) float64 {
 	t, declared := m.cfg.Team(team)
 	if !declared || t.Limit.CPU == 0 {
 		return 0
 	}
-	return t.Limit.Cores()
+	return max(leastLimit, processors(t.Limit)-m.teamLoads[team].held)
 }
 
 // urgentWork returns the core-seconds of all pools that can still be in time.
