A task that is being stopped is not taken for gone

Cause: a worker that stops a task lists it neither as active nor as ended for up to the stop's time. Two places took its absence for proof. A new owner ended at its first look whatever it inherited and did not find, though the owner before may have had it stopped. And an owner whose stop had no answer (lost, or carried out late) ended the attempt at the next look.

What may be being stopped is gone only when a look sent a stop's time after the first one that lacked it does not list it either; such a look waits no longer than that.

--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -134,6 +134,9 @@
 			}
 		default:
 			order.Lease, order.Wait = m.options.Lease, m.options.Renewal
+			if now.Before(w.doubt) {
+				order.Wait = min(order.Wait, w.doubt.Sub(now))
+			}
 		}
 		if order.Lease > 0 {
 			w.granting++
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -233,6 +233,7 @@
 	underway  bool      // the order to start it was not answered yet
 	began     time.Time // when the worker was known to run it
 	settled   time.Time // a worker that does not list the run in an answer to a later call does not have it
+	missing   time.Time // when the first look was sent whose answer did not list it, though it may be being stopped
 	stopping  bool
 	stopped   bool // the worker has acknowledged the stop
 	leaving   bool // its machine is about to be taken away
--- a/core/sched/looks.go
+++ b/core/sched/looks.go
@@ -108,6 +108,7 @@
 		m.orderNow(StopTask{Worker: w.id, Task: a.Task, Attempt: a.Attempt})
 		return
 	}
+	r.missing = time.Time{}
 	if r.phase != runConfirmed {
 		m.confirm(now, r)
 	}
@@ -127,13 +128,30 @@
 		if listed[r.key()] {
 			continue
 		}
-		settled := !r.settled.IsZero() && sentAt.After(r.settled)
-		if r.phase == runInherited || settled {
+		if m.surelyAbsent(w, r, sentAt) {
 			m.endRun(now, r, Lost, "")
 		}
 	}
 }
 
+// surelyAbsent tells whether a worker whose answer to a look does not list the attempt does not have it. While it is being
+// stopped, by this owner or the one before, it is in no list until it has ended: then a look after the stop's time tells.
+func (m *Machine) surelyAbsent(w *worker, r *run, sentAt time.Time) bool {
+	mayBeStopping := r.phase == runInherited || r.stopping && !r.stopped
+	switch {
+	case r.settled.IsZero() && r.phase != runInherited, !sentAt.After(r.settled):
+		return false
+	case !mayBeStopping:
+		return true
+	case r.missing.IsZero():
+		r.missing = sentAt
+		w.doubt = sentAt.Add(m.options.StopLimit + stopMargin)
+		return false
+	default:
+		return sentAt.After(r.missing.Add(m.options.StopLimit + stopMargin))
+	}
+}
+
 // reborn notes that a worker started anew under its id: it holds nothing of before. What was begun there may be of its new
 // life all the same, since the answer to a start does not tell lives apart; the lists of a look that is sent from now on do.
 func (m *Machine) reborn(now time.Time, w *worker, born int64) {
--- a/core/sched/worker.go
+++ b/core/sched/worker.go
@@ -21,8 +21,9 @@
 	holding  bool      // a look is on the way
 	granting int       // calls on the way that may renew what runs
 	nextHold time.Time
-	seen     int64 // number of the last end taken over
-	stored   int64 // number of the last end on the journal
+	doubt    time.Time // a look sent after it tells what one before left open
+	seen     int64     // number of the last end taken over
+	stored   int64     // number of the last end on the journal
 	runs     map[runKey]*run
 	order    []*run // the same in the order in which they were noted
 	used     setup.Resources
