--- a/review/stand/book.go
+++ b/review/stand/book.go
@@ -29,7 +29,7 @@
 	Steps []step `json:"steps"`
 
 	acceptedAt time.Time
-	state      string
+	advised    bool // its queue has a policy
 }
 
 type step struct {
@@ -127,6 +127,14 @@
 	return &j.Steps[n], true
 }
 
+// job returns the job of a task, nil if no caller has sent it.
+func (b *book) job(task string) *job {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	id, _, _ := strings.Cut(task, ".")
+	return b.jobs[id]
+}
+
 func (b *book) history(task string) *taskHistory {
 	h := b.tasks[task]
 	if h == nil {
--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -42,15 +43,20 @@
 	gates   []*gate
 	workers []*worker
 	cloud   string
-	cfg     map[string]any
+	advisor *advisor // nil if no queue asks for advice
 }
 
 func newDeployment(gates, workers, cpu, mem int) *deployment {
+	return newAdvisedDeployment(gates, workers, cpu, mem, nil)
+}
+
+// newAdvisedDeployment returns a deployment whose queue batches asks the advisor, if there is one.
+func newAdvisedDeployment(gates, workers, cpu, mem int, a *advisor) *deployment {
 	binary, err := filepath.Abs(os.Getenv("MANGOWING"))
 	check(err)
 	dir, err := os.MkdirTemp("", "review-")
 	check(err)
-	d := &deployment{dir: dir, binary: binary, log: newLogServer(), book: newBook(os.Getenv("RECORD"))}
+	d := &deployment{dir: dir, binary: binary, log: newLogServer(), book: newBook(os.Getenv("RECORD")), advisor: a}
 	d.configure(1)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
@@ -59,6 +65,9 @@
 	check(err)
 	d.cloud = cloud.Addr().String()
 	go func() { _ = (&http.Server{Handler: http.HandlerFunc(d.serveMachines)}).Serve(cloud) }()
+	if a != nil {
+		a.serve()
+	}
 	for n := range workers {
 		d.workers = append(d.workers, newWorker(d, fmt.Sprintf("w%05x-1", 4099*(n+1)), fmt.Sprintf("m-%d", n+1), service, cpu, mem))
 	}
@@ -74,14 +83,19 @@
 		return map[string]any{"name": name, "host": host, "path_prefix": "/" + name + "/", "service": service, "timeout_ms": 3000,
 			"priority": 0, "max_attempts": 2, "slack_factor": 1.6, "target_latency_ms": 600}
 	}
+	batches := route("batches")
+	if d.advisor != nil {
+		batches["recommendation"] = map[string]any{"decision_ms": decisionTime.Milliseconds(), "period_ms": periodTime.Milliseconds(),
+			"validity_ms": validity.Milliseconds()}
+	}
 	tenant := func(name string) map[string]any {
 		return map[string]any{"name": name, "api_keys": []string{"key-" + name}, "weight": 1000,
 			"cap": map[string]int{"cpu": 0, "mem_mb": 0, "gpu": 0}}
 	}
-	d.cfg = map[string]any{"version": version, "routes": []any{route("quotes"), route("batches")},
+	cfg := map[string]any{"version": version, "routes": []any{route("quotes"), batches},
 		"services": []any{map[string]any{"name": service, "enforces_capacity": true}},
 		"tenants":  []any{tenant("roasters"), tenant("growers")}, "limits": map[string]any{"max_body_bytes": 262144}}
-	raw, _ := json.Marshal(d.cfg)
+	raw, _ := json.Marshal(cfg)
 	d.log.put("op", "config", raw)
 }
 
@@ -111,11 +125,15 @@
 	exited chan struct{}
 }
 
+// freePort returns a port on which nobody listens, below those that the system gives to outgoing connections.
 func freePort() int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
+	for {
+		port := 12000 + rand.IntN(18000)
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			_ = l.Close()
+			return port
+		}
+	}
 }
 
 func newGate(d *deployment, n int, logAddress string) *gate {
@@ -139,13 +157,13 @@
 log = %s
 machines = %s
 machine-orders = 64
-advisor =
+advisor = %s
 
 [bounds]
 maintenance = 2s
 migration = 1.5s
 stop-limit = 200ms
-`, g.name, zone, g.caller, g.ready, freePort(), freePort(), g.store.address(), d.cloud)
+`, g.name, zone, g.caller, g.ready, freePort(), freePort(), g.store.address(), d.cloud, d.advisor.address())
 	check(os.WriteFile(g.file, []byte(settings), 0o600))
 	return g
 }
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -193,6 +193,7 @@
 	WaitMs   int64  `json:"wait_ms"`
 
 	Checkpoint string `json:"checkpoint"`
+	Ticket     string `json:"ticket"`
 }
 
 func (w *worker) handler(handle func(order) (int, map[string]any)) http.HandlerFunc {
@@ -217,7 +218,10 @@
 			w.token = o.Token
 			status, answer = handle(o)
 		}
-		answer["clock_ms"], answer["born"] = w.clock(), w.born
+		answer["clock_ms"] = w.clock()
+		if _, isList := answer["active"]; isList {
+			answer["born"] = w.born
+		}
 		w.mu.Unlock()
 		writeJSON(rw, status, answer)
 	}
@@ -254,6 +258,9 @@
 	if o.Attempt <= w.barred[o.Task] || w.runs[o.Task] != nil {
 		return refuse("old")
 	}
+	if w.d.advisor != nil && !w.d.advisor.allows(w, o) {
+		return refuse("ticket")
+	}
 	step, found := w.d.book.step(o.Task)
 	if !found {
 		w.d.book.broke("UNASKED", fmt.Sprintf("%s, which nobody sent, is started on %s", o.Task, w.id))
