--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -203,6 +204,13 @@
 
 // begin starts all gates and waits until they are ready, as the traffic starts 10 s after the machines.
 func (d *deployment) begin() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		d.finish()
+		os.Exit(2)
+	}()
 	for _, g := range d.gates {
 		g.start()
 	}
