review/2: a job that was refused with 503 each time runs all the same

The case shows that the inbox append's hedged tries lose the one that may have been carried out if another is rejected after it; the caller is then told that the job never runs.

--- a/review/stand/log.go
+++ b/review/stand/log.go
@@ -19,21 +19,14 @@
 	topics      map[string]*topic
 	recordBytes int // largest record that an append may hold
 	rejected    int // appends rejected for a record that is too large
-	// onAppend, if set, sees each append before it is carried out. It returns how the call is treated.
-	onAppend func(topic string, records [][]byte) treatment
-}
-
-// treatment is how the log treats an append that a fault hits. The zero value is a sound answer.
-type treatment struct {
-	before    time.Duration // delay before it is carried out
-	skip      bool          // not carried out
-	status    int           // answered with this status instead, if not 0
-	reset     bool          // the connection is reset after it was carried out
-	afterWait time.Duration // delay after it was carried out
+	slowness    int // each answer and each append takes this many times as long; 0 counts as 1
+	full        int // appends answered with 503, since more than 2 s was waiting
 }
 
 const (
 	logAnswerTime  = 4 * time.Millisecond
+	logAppendTime  = time.Millisecond // append_ms
+	longestQueue   = 2 * time.Second
 	recordBytes    = 262144  // record_bytes of DEPLOY.md
 	requestBytes   = 2097152 // request_bytes of DEPLOY.md
 	answersKept    = 5
@@ -46,6 +39,7 @@
 	newest    map[string]int64
 	producers map[string]*producer
 	changed   chan struct{}
+	busyUntil time.Time // the partition processes its appends one at a time
 }
 
 type producer struct {
@@ -138,9 +132,6 @@
 	return n, err == nil
 }
 
-// resetConn closes the connection of a request so that its peer sees a reset.
-func resetConn(w http.ResponseWriter) { panic(http.ErrAbortHandler) }
-
 func (l *logServer) serveAppend(w http.ResponseWriter, r *http.Request, body []byte) {
 	var records [][]byte
 	tooLarge := len(body) > requestBytes
@@ -159,30 +150,52 @@
 		l.mu.Lock()
 		l.rejected++
 		l.mu.Unlock()
-		time.Sleep(logAnswerTime)
+		l.answerTime()
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	t := treatment{}
-	if l.onAppend != nil {
-		t = l.onAppend(r.URL.Query().Get("topic"), records)
-	}
-	time.Sleep(logAnswerTime + t.before)
-	status, answer := http.StatusOK, appendAnswer{}
-	if !t.skip {
-		status, answer = l.doAppend(r, records)
-	}
-	time.Sleep(t.afterWait)
-	if t.reset {
-		resetConn(w)
-	}
-	if t.status != 0 {
-		w.WriteHeader(t.status)
+	wait, ok := l.queueAppend(r.URL.Query().Get("topic"))
+	if !ok {
+		l.answerTime()
+		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	time.Sleep(wait)
+	status, answer := l.doAppend(r, records) // also if the caller has given up meanwhile
+	l.answerTime()
 	writeJSON(w, status, answer)
 }
 
+// queueAppend returns how long an append to the topic waits and takes, and false if more than 2 s is waiting.
+func (l *logServer) queueAppend(name string) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t, now := l.topic(name), time.Now()
+	if t.busyUntil.Sub(now) > longestQueue {
+		l.full++
+		return 0, false
+	}
+	if t.busyUntil.Before(now) {
+		t.busyUntil = now
+	}
+	t.busyUntil = t.busyUntil.Add(logAppendTime * time.Duration(max(1, l.slowness)))
+	return t.busyUntil.Sub(now), true
+}
+
+// answerTime sleeps as long as an answer takes.
+func (l *logServer) answerTime() {
+	l.mu.Lock()
+	slowness := max(1, l.slowness)
+	l.mu.Unlock()
+	time.Sleep(logAnswerTime * time.Duration(slowness))
+}
+
+func (l *logServer) setSlowness(x int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.slowness = x
+}
+
 func (l *logServer) doAppend(r *http.Request, records [][]byte) (int, appendAnswer) {
 	name := r.URL.Query().Get("topic")
 	l.mu.Lock()
@@ -237,7 +250,7 @@
 	if !limited {
 		maxKB = 1024
 	}
-	time.Sleep(logAnswerTime)
+	l.answerTime()
 	deadline := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer deadline.Stop()
 	for timedOut := wait == 0; ; {
@@ -287,7 +300,7 @@
 		Value  string `json:"value"`
 		Offset int64  `json:"offset"`
 	}
-	time.Sleep(logAnswerTime)
+	l.answerTime()
 	after := r.URL.Query().Get("dependencies")
 	l.mu.Lock()
 	t := l.topic(r.URL.Query().Get("topic"))
@@ -314,7 +327,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	time.Sleep(logAnswerTime)
+	l.answerTime()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.topic(request.Topic)
