--- a/review/stand/large.go
+++ b/review/stand/large.go
@@ -56,7 +56,11 @@
 		if j == large && !accepted {
 			continue
 		}
-		if s := d.state("batches", "key-growers", j); s != "completed" {
+		queue, key := "quotes", "key-roasters"
+		if j == large {
+			queue, key = "batches", "key-growers"
+		}
+		if s := d.state(queue, key, j); s != "completed" {
 			open++
 			what := fmt.Sprintf("job %s, accepted at %.1f s, is %s, %v after the traffic has ended", j.ID, j.acceptedAt.Sub(d.book.from).Seconds(), s, finish)
 			if idle == 0 {
