--- /dev/null
+++ b/gate/intake/inbox_test.go
@@ -0,0 +1,58 @@
+package intake
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"gotest.tools/v3/assert"
+
+	"mangowing/core/codes"
+	"mangowing/core/timer"
+	"mangowing/gate/ports"
+)
+
+// appendPause is how long each append takes: all tries are started before the first one ends.
+const appendPause = inboxAppendTimeout - inboxHedgeDelay
+
+// scriptedLog is a log whose appends end as listed, each after appendPause.
+type scriptedLog struct {
+	ports.Log
+	mu   sync.Mutex
+	ends []error
+}
+
+// Append ends like the next entry of the list.
+func (l *scriptedLog) Append(ctx context.Context, _ ports.Append) (int64, error) {
+	l.mu.Lock()
+	end := l.ends[0]
+	l.ends = l.ends[1:]
+	l.mu.Unlock()
+	timer.Sleep(ctx, appendPause)
+	return 0, end
+}
+
+// Guards against answering that a job was refused although an append without an answer may have stored it (review/2).
+func TestJobWhoseAppendGotNoAnswerIsNotRefused(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		ends     []error
+		expected codes.Code
+	}{
+		{"all rejected", []error{ports.ErrRejected, ports.ErrRejected, ports.ErrRejected}, codes.JobStoreAway},
+		{"no answer, then rejected", []error{ports.ErrOutcomeUnknown, ports.ErrRejected, ports.ErrRejected}, codes.JobUnsettled},
+		{"rejected, then no answer", []error{ports.ErrRejected, ports.ErrOutcomeUnknown, ports.ErrRejected}, codes.JobUnsettled},
+		{"stored after a rejection", []error{ports.ErrRejected, nil, nil}, codes.OK},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := &scriptedLog{ends: s.ends}
+				service := &Service{log: log}
+				reply := service.appendToInbox(t.Context(), []byte("job"), "5c0e7a21d94b36f8", false)
+				assert.Equal(t, reply.Code(), s.expected)
+			})
+		})
+	}
+}
--- a/gate/lead/journal.go
+++ b/gate/lead/journal.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	"mangowing/core/sched"
@@ -95,47 +94,6 @@
 	}
 }
 
-// Hedged calls f, and calls it again in parallel when delay passes without a result, up to the given number of tries. The delay
-// grows with each try. Hedged returns the first success, or the last error once all started calls have failed; if the
-// context ends, the error wraps ports.ErrOutcomeUnknown.
-func Hedged[T any](ctx context.Context, delay time.Duration, tries int, f func(context.Context) (T, error)) (T, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	type outcome struct {
-		value T
-		err   error
-	}
-	results := make(chan outcome, tries)
-	startTry := func() {
-		go func() {
-			v, err := f(ctx)
-			results <- outcome{v, err}
-		}()
-	}
-	startTry()
-	started, ended := 1, 0
-	next := time.NewTimer(delay)
-	defer next.Stop()
-	for {
-		select {
-		case r := <-results:
-			ended++
-			if r.err == nil || ended == started {
-				return r.value, r.err
-			}
-		case <-next.C:
-			if started < tries {
-				startTry()
-				started++
-				next.Reset(delay * time.Duration(started))
-			}
-		case <-ctx.Done():
-			var none T
-			return none, eris.Wrap(ports.ErrOutcomeUnknown, ctx.Err().Error())
-		}
-	}
-}
-
 // replay applies the journal's records from the last snapshot to the end, and returns their size in bytes.
 func (j *journal) replay(ctx context.Context, sc *sched.Scheduler) (size int, err error) {
 	from, err := j.snapshotOffset(ctx)
