--- a/core/sched/intake.go
+++ b/core/sched/intake.go
@@ -17,10 +17,16 @@
 // String returns the result's name, such as "repeated".
 func (r SubmitResult) String() string { return [...]string{"accepted", "repeated", "overload"}[r] }
 
+// HasJob reports whether the job was submitted, even if its record is not stored yet.
+func (sc *Scheduler) HasJob(id string) bool {
+	_, known := sc.jobs[id]
+	return known
+}
+
 // Submit accepts a job, or returns why it was refused. The Refusal is set for Overloaded only.
 func (sc *Scheduler) Submit(now time.Time, spec JobSpec) (SubmitResult, Refusal) {
 	sc.RecordSubmission(now)
-	if _, known := sc.jobs[spec.ID]; known {
+	if sc.HasJob(spec.ID) {
 		return Duplicate, Refusal{}
 	}
 	spec.OverShare = sc.exceedsShare(now, &spec)
--- a/gate/lead/answers.go
+++ b/gate/lead/answers.go
@@ -51,7 +51,8 @@
 }
 
 func (t *term) submit(now time.Time, c submitCall) {
-	if t.appendInFlight && now.Sub(t.appendStartedAt) > logUnavailableAfter {
+	// A job that is known may have been stored by the append in flight, so it can't be refused any more.
+	if t.appendInFlight && now.Sub(t.appendStartedAt) > logUnavailableAfter && !t.scheduler.HasJob(c.spec.ID) {
 		t.scheduler.RecordSubmission(now)
 		klog.InfoS("job-refused", "job", c.spec.ID, "queue", c.spec.Queue, "team", c.spec.Team, "why", "the journal can't be written")
 		countJob("store-away")
