--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -43,6 +43,7 @@
 	fullPass := sc.fullPassDue || now.Sub(sc.lastFullPass) >= max(minFullPassInterval, time.Duration(len(sc.workersByID))*fullPassIntervalPerWorker)
 	if fullPass {
 		sc.lastFullPass, sc.fullPassDue = now, false
+		sc.endSupersededWorkers(now)
 		sc.expireLeases(now)
 		sc.beginDueRounds(now)
 		sc.resendStops(now)
@@ -78,7 +79,7 @@
 func (sc *Scheduler) expireLeases(now time.Time) {
 	var expired []*worker
 	for _, w := range sc.workersByID {
-		if w.unanswered == 0 && w.verified && w.listed || now.Before(w.leasesExpireAt) || w.renewalsInFlight > 0 {
+		if w.answers() || now.Before(w.leasesExpireAt) || w.renewalsInFlight > 0 {
 			continue
 		}
 		expired = append(expired, w)
--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -197,28 +197,40 @@
 	takeoverGracePeriod = 400 * time.Millisecond
 )
 
-// workersByMachine returns each machine's worker: the latest listed one, else the latest that is unlisted but still has runs.
+// workersByMachine returns each machine's worker: a listed one if there is any, else one that still has runs.
 func (sc *Scheduler) workersByMachine() map[string]*worker {
 	byMachine := make(map[string]*worker, len(sc.workers))
 	for _, w := range sc.workersByID {
 		if w.entry.Machine == "" || !w.listed && len(w.runs) == 0 {
 			continue
 		}
-		if known := byMachine[w.entry.Machine]; known == nil || w.listed && !known.listed || w.listed == known.listed && w.incarnation > known.incarnation {
+		if known := byMachine[w.entry.Machine]; known == nil || w.ranksBefore(known) {
 			byMachine[w.entry.Machine] = w
 		}
 	}
 	return byMachine
 }
 
+// ranksBefore reports whether the worker rather than the other one is the present worker of the machine that both name: one that
+// is listed, then one that answers, then one that has runs, then the later one.
+func (w *worker) ranksBefore(other *worker) bool {
+	order := cmp.Or(
+		compareTrueFirst(w.listed, other.listed),
+		compareTrueFirst(w.answers(), other.answers()),
+		compareTrueFirst(len(w.runs) > 0, len(other.runs) > 0),
+		cmp.Compare(other.incarnation, w.incarnation),
+	)
+	return order < 0
+}
+
 // isIdle reports whether the worker is known to have no runs, so that its machine may be moved.
 func (w *worker) isIdle() bool {
-	return len(w.runs) == 0 && w.listed && w.verified && w.unanswered == 0 && !w.entry.Draining
+	return len(w.runs) == 0 && w.answers() && !w.entry.Draining
 }
 
 // isHealthy reports whether the worker takes new tasks, leaving aside a backoff, quarantine or surplus mark, which end soon.
 func (w *worker) isHealthy() bool {
-	return w.listed && w.verified && w.unanswered == 0 && !w.entry.Draining && !w.cordoned
+	return w.answers() && !w.entry.Draining && !w.cordoned
 }
 
 func (w *worker) hasLongRunning() bool {
@@ -261,13 +273,14 @@
 // CanStillMaintain reports whether a maintenance order may still be sent after its record was stored. It may not if more
 // tasks of a step have become unavailable meanwhile than MaxUnavailable allows, counting those on the machine.
 func (sc *Scheduler) CanStillMaintain(o MaintainMachine) bool {
-	w := sc.workersByMachine()[o.Machine]
-	if w == nil {
-		return true
-	}
-	for _, r := range w.runList {
-		if s := r.task.step; s.spec.MaxUnavailable > 0 && s.countUnavailable() > s.spec.MaxUnavailable {
-			return false
+	for _, w := range sc.workersByID {
+		if w.entry.Machine != o.Machine {
+			continue
+		}
+		for _, r := range w.runList {
+			if s := r.task.step; s.spec.MaxUnavailable > 0 && s.countUnavailable() > s.spec.MaxUnavailable {
+				return false
+			}
 		}
 	}
 	return true
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -30,9 +30,11 @@
 
 	// State reported by workers and the platform.
 	workers              map[string]*worker
-	workersByID          []*worker        // all workers in order of id
-	replacedWorkers      map[string]int64 // worker id -> incarnation, for workers whose machine runs another worker or was taken down
-	firstWorkerList      time.Time        // when the first list of workers arrived
+	workersByID          []*worker              // all workers in order of id
+	workerList           map[string]WorkerEntry // as last passed to UpdateWorkers
+	sharedMachines       map[string][]*worker   // machines for which several workers are listed
+	replacedWorkers      map[string]int64       // worker id -> incarnation, for workers whose machine runs another worker or was taken down
+	firstWorkerList      time.Time              // when the first list of workers arrived
 	machines             map[string]*machine
 	machinesByID         []*machine // all machines in order of id
 	lastMachineList      time.Time  // when the last list of machines arrived
@@ -145,8 +147,11 @@
 }
 
 // Configure replaces the configuration.
-func (sc *Scheduler) Configure(_ time.Time, cfg *setup.Config) {
+func (sc *Scheduler) Configure(now time.Time, cfg *setup.Config) {
 	sc.cfg = cfg
+	if sc.workerList != nil {
+		sc.UpdateWorkers(now, sc.workerList)
+	}
 	sc.markAllPoolsDirty()
 }
 
--- a/core/sched/stalled_workers.go
+++ b/core/sched/stalled_workers.go
@@ -13,7 +13,7 @@
 // quarantineStalledWorkers quarantines stalled workers and stops their overdue tasks, so that they start again elsewhere.
 func (sc *Scheduler) quarantineStalledWorkers(now time.Time) {
 	for _, w := range sc.workersByID {
-		if !w.listed || !w.verified || w.unanswered > 0 {
+		if !w.answers() {
 			continue
 		}
 		if r := w.stalledRun(now); r != nil && sc.canRunElsewhere(now, r) {
--- a/core/sched/waves.go
+++ b/core/sched/waves.go
@@ -210,7 +210,7 @@
 	if w == nil {
 		return true
 	}
-	if !w.listed || !w.verified || w.unanswered > 0 {
+	if !w.answers() {
 		return false
 	}
 	return (w.countBatchRuns() == 0 || force && w.countBatchRuns() <= maxForcedTasks) && w.canEvictLongRunning()
--- a/core/sched/worker.go
+++ b/core/sched/worker.go
@@ -57,9 +57,12 @@
 	minLongRunningUptime = 2 * time.Second
 )
 
+// answers reports whether the worker is listed and has answered the last call, to the current owner.
+func (w *worker) answers() bool { return w.listed && w.verified && w.unanswered == 0 }
+
 // isSchedulable reports whether new tasks may be placed on the worker.
 func (w *worker) isSchedulable(now time.Time) bool {
-	return w.listed && w.verified && w.unanswered == 0 && !w.entry.Draining && !w.cordoned && !w.surplus &&
+	return w.answers() && !w.entry.Draining && !w.cordoned && !w.surplus &&
 		!now.Before(w.fullUntil) && !now.Before(w.quarantinedUntil)
 }
 
--- a/core/sched/worker_list.go
+++ b/core/sched/worker_list.go
@@ -7,25 +7,34 @@
 )
 
 // UpdateWorkers applies the platform's list of workers; entries is keyed by worker id. A worker that is no longer listed has left or has
-// lost contact with the platform.
+// lost contact with the platform. Entries of pools that are not declared are left aside until they are.
 func (sc *Scheduler) UpdateWorkers(now time.Time, entries map[string]WorkerEntry) {
 	if sc.firstWorkerList.IsZero() {
 		sc.firstWorkerList = now
 	}
+	sc.workerList = entries
 	for _, id := range slices.Sorted(maps.Keys(entries)) {
-		sc.updateWorker(now, id, entries[id])
+		if sc.isUsable(entries[id]) {
+			sc.updateWorker(now, id, entries[id])
+		}
 	}
-	sc.endSupersededWorkers(now)
 	for id := range sc.replacedWorkers {
 		if _, listed := entries[id]; !listed {
 			delete(sc.replacedWorkers, id)
 		}
 	}
 	for _, w := range slices.Clone(sc.workersByID) {
-		if _, listed := entries[w.id]; !listed && w.listed {
+		if e, listed := entries[w.id]; w.listed && !(listed && sc.isUsable(e)) {
 			sc.unlistWorker(now, w)
 		}
 	}
+	sc.findSharedMachines(now)
+}
+
+// isUsable reports whether the entry is of a declared pool. Before there is a configuration, every pool counts as declared.
+func (sc *Scheduler) isUsable(e WorkerEntry) bool {
+	_, declared := sc.cfg.Pool(e.Pool)
+	return declared || sc.cfg.Version() == 0
 }
 
 func (sc *Scheduler) updateWorker(now time.Time, id string, e WorkerEntry) {
@@ -57,19 +66,58 @@
 	w.entry = e
 }
 
-// endSupersededWorkers ends the earlier workers of each machine: a machine runs one worker at a time, but the list may
-// still contain an earlier one.
-func (sc *Scheduler) endSupersededWorkers(now time.Time) {
-	latest := make(map[string]int64, len(sc.workersByID))
+// findSharedMachines finds the machines for which several workers are listed. A machine runs one worker at a time, but the list
+// may still contain an earlier one, and an entry alone proves nothing: it may come from another writer. So a worker gets no new
+// tasks until it has answered again once a later one is listed for its machine.
+func (sc *Scheduler) findSharedMachines(now time.Time) {
+	before := sc.sharedMachines
+	sc.sharedMachines = map[string][]*worker{}
+	first := make(map[string]*worker, len(sc.workersByID))
 	for _, w := range sc.workersByID {
-		if w.listed {
-			latest[w.entry.Machine] = max(latest[w.entry.Machine], w.incarnation)
+		machine := w.entry.Machine
+		if !w.listed || machine == "" {
+			continue
+		}
+		other, isShared := first[machine]
+		if !isShared {
+			first[machine] = w
+			continue
 		}
+		if len(sc.sharedMachines[machine]) == 0 {
+			sc.sharedMachines[machine] = []*worker{other}
+		}
+		sc.sharedMachines[machine] = append(sc.sharedMachines[machine], w)
 	}
-	for _, w := range slices.Clone(sc.workersByID) {
-		if w.listed && w.entry.Machine != "" && w.incarnation != 0 && w.incarnation < latest[w.entry.Machine] {
-			sc.replacedWorkers[w.id] = w.incarnation
-			sc.removeWorker(now, w, "its machine runs another worker")
+	for machine, workers := range sc.sharedMachines {
+		sc.verifyPredecessors(now, workers, before[machine])
+	}
+}
+
+// verifyPredecessors has each worker polled anew that a later one succeeds on its machine, unless that one was known before.
+func (sc *Scheduler) verifyPredecessors(now time.Time, workers, knownBefore []*worker) {
+	for _, w := range workers {
+		isNewSuccessor := func(other *worker) bool { return other.succeeds(w) && !slices.Contains(knownBefore, other) }
+		if slices.ContainsFunc(workers, isNewSuccessor) {
+			w.verified = false
+			sc.pollSoon(now, w)
+		}
+	}
+}
+
+// succeeds reports whether the worker, listed for the same machine as the other one, was started later.
+func (w *worker) succeeds(other *worker) bool {
+	return other.incarnation != 0 && other.incarnation < w.incarnation
+}
+
+// endSupersededWorkers ends the workers that don't answer while a later worker of their machine does.
+func (sc *Scheduler) endSupersededWorkers(now time.Time) {
+	for _, workers := range sc.sharedMachines {
+		for _, w := range workers {
+			isSuccessor := func(other *worker) bool { return other.succeeds(w) && other.answers() }
+			if w.listed && w.unanswered > 0 && slices.ContainsFunc(workers, isSuccessor) {
+				sc.replacedWorkers[w.id] = w.incarnation
+				sc.removeWorker(now, w, "its machine runs another worker")
+			}
 		}
 	}
 }
