--- a/core/sched/codec.go
+++ b/core/sched/codec.go
@@ -25,6 +25,7 @@
 	tagMaintenanceDone
 	tagSurgeSeen
 	tagMaintenanceOrdered
+	tagTasksSnapshot
 )
 
 var decoders = map[recordTag]func(body []byte) (Record, error){
@@ -40,6 +41,7 @@
 	tagMaintenanceDone:    decodeAs[MaintenanceDone],
 	tagSurgeSeen:          decodeAs[SurgeSeen],
 	tagMaintenanceOrdered: decodeAs[MaintenanceOrdered],
+	tagTasksSnapshot:      decodeAs[TasksSnapshot],
 }
 
 // Encode returns the binary form of the record: codec version, tag and CBOR body.
--- a/core/sched/lifecycle.go
+++ b/core/sched/lifecycle.go
@@ -56,6 +56,15 @@
 	sc.updateWaiting(s)
 }
 
+// updateJobReadiness updates the readiness of all steps of the job.
+func (sc *Scheduler) updateJobReadiness(j *job, now time.Time) {
+	for _, r := range j.rounds {
+		for _, s := range r.steps {
+			sc.updateReadiness(s, now)
+		}
+	}
+}
+
 // updateWaiting adds the step to its pool's waiting steps, or removes it if none of its tasks may be started.
 func (sc *Scheduler) updateWaiting(s *step) {
 	p := sc.ensurePool(sc.currentPool(s.job()))
--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -15,6 +15,8 @@
 	AllowPoolMoves      bool          // machines may be moved between pools
 	// MachineOrderRate is the platform's limit of machine orders per second.
 	MachineOrderRate float64
+	// MaxRecordBytes is the largest record that the journal stores.
+	MaxRecordBytes int
 }
 
 // Defaults of Options.
@@ -29,6 +31,7 @@
 	defaultStopTimeout         = 400 * time.Millisecond
 	// Orders per second.
 	defaultMachineOrderRate = 50.0
+	defaultMaxRecordBytes   = 256 << 10
 )
 
 func (o Options) withDefaults() Options {
@@ -52,9 +55,27 @@
 	if o.MachineOrderRate == 0 {
 		o.MachineOrderRate = defaultMachineOrderRate
 	}
+	if o.MaxRecordBytes == 0 {
+		o.MaxRecordBytes = defaultMaxRecordBytes
+	}
 	return o
 }
 
+// maxTasksShare is the part of the largest record that the tasks in one record of a snapshot may take, so that records with
+// tasks remain small to read.
+const maxTasksShare = 4
+
+// maxTasksBytes returns the size that the tasks in one record of a snapshot may take. A single checkpoint may take as much.
+func (o Options) maxTasksBytes() int {
+	return min(o.MaxRecordBytes, defaultMaxRecordBytes) / maxTasksShare
+}
+
+// maxJobOverheadBytes is by how much a job's record in a snapshot may exceed its JobAccepted.
+const maxJobOverheadBytes = 64
+
+// MaxJobBytes returns the size of the largest encoded JobAccepted whose job the journal can store and save in a snapshot.
+func (o Options) MaxJobBytes() int { return o.withDefaults().MaxRecordBytes - maxJobOverheadBytes }
+
 const (
 	// A worker's clock may be slower than the scheduler's by up to this factor.
 	maxClockSlowdown = 1.0205
--- a/core/sched/polls.go
+++ b/core/sched/polls.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -78,6 +79,10 @@
 	}
 	w.lastEndSeen = e.Number
 	sc.workersWithNewEnds[w] = true
+	if !sc.isStorable(e.Checkpoint) {
+		sc.logDecision(now, "checkpoint-too-large", e.Task.String(), w.id, strconv.Itoa(len(e.Checkpoint))+" bytes")
+		e.Checkpoint = ""
+	}
 	if r := w.runs[runKey{e.Task, e.Attempt}]; r != nil {
 		sc.endRun(now, r, e.Outcome, e.Checkpoint)
 		return
@@ -85,6 +90,12 @@
 	sc.applyLateEnd(now, e)
 }
 
+// isStorable reports whether a record with the checkpoint fits into the journal. The task goes on from an earlier checkpoint, or
+// from its beginning, if it does not.
+func (sc *Scheduler) isStorable(checkpoint string) bool {
+	return len(checkpoint) <= sc.options.maxTasksBytes()
+}
+
 // applyLateEnd completes a task whose attempt had been given up, but succeeded after all.
 func (sc *Scheduler) applyLateEnd(now time.Time, e EndedRun) {
 	j, known := sc.jobs[e.Task.Job]
@@ -112,7 +123,7 @@
 	if r.phase != runConfirmed {
 		sc.confirmStart(now, r)
 	}
-	if a.Checkpoint != "" && a.Checkpoint != r.task.checkpoint {
+	if a.Checkpoint != "" && a.Checkpoint != r.task.checkpoint && sc.isStorable(a.Checkpoint) {
 		r.task.checkpoint = a.Checkpoint
 		sc.shareCheckpoint(r.task)
 	}
--- a/core/sched/record.go
+++ b/core/sched/record.go
@@ -1,7 +1,7 @@
 package sched
 
 // Record is an entry of the journal: JobAccepted, JobCancelled, TaskStarted, TaskEnded, InboxAdvanced, WaveSeen,
-// MaintenanceOrdered, MaintenanceDone, SurgeSeen, SnapshotStarted, JobSnapshot or SnapshotEnded. Records are stored as CBOR
+// MaintenanceOrdered, MaintenanceDone, SurgeSeen, SnapshotStarted, JobSnapshot, TasksSnapshot or SnapshotEnded. Records are stored as CBOR
 // arrays, so the order and the types of their fields must not change.
 type Record interface {
 	tag() recordTag
@@ -81,7 +81,8 @@
 	Offset int64    // offset of the first inbox record that has not been processed
 }
 
-// JobSnapshot is the part of a snapshot that holds one job.
+// JobSnapshot is the part of a snapshot that holds one job. If its tasks would make the record too large, TasksSnapshot records
+// follow with them.
 type JobSnapshot struct {
 	_          struct{} `cbor:",toarray"`
 	Job        JobSpec
@@ -92,6 +93,13 @@
 	Tasks      []taskSnapshot // tasks that were attempted or are done
 }
 
+// TasksSnapshot is the part of a snapshot that holds tasks of a job whose JobSnapshot precedes it.
+type TasksSnapshot struct {
+	_     struct{} `cbor:",toarray"`
+	Job   string
+	Tasks []taskSnapshot
+}
+
 type taskSnapshot struct {
 	_          struct{} `cbor:",toarray"`
 	Task       TaskID
@@ -126,4 +134,5 @@
 func (MaintenanceOrdered) tag() recordTag { return tagMaintenanceOrdered }
 func (SnapshotStarted) tag() recordTag    { return tagSnapshotStarted }
 func (JobSnapshot) tag() recordTag        { return tagJobSnapshot }
+func (TasksSnapshot) tag() recordTag      { return tagTasksSnapshot }
 func (SnapshotEnded) tag() recordTag      { return tagSnapshotEnded }
--- a/core/sched/replay.go
+++ b/core/sched/replay.go
@@ -32,6 +32,12 @@
 		sc.snapshot.jobs++
 		sc.snapshot.add(r)
 		return nil
+	case TasksSnapshot:
+		if !sc.snapshot.started {
+			return eris.Errorf("tasks of job %s are saved outside of a snapshot", r.Job)
+		}
+		sc.snapshot.add(r)
+		return nil
 	case SnapshotEnded:
 		return sc.replaySnapshot(r)
 	case JobAccepted, TaskStarted, TaskEnded, InboxAdvanced:
@@ -74,6 +80,8 @@
 		sc.inboxOffset = r.Offset
 	case JobSnapshot:
 		sc.restoreJob(r)
+	case TasksSnapshot:
+		return sc.restoreTasks(r)
 	case WaveSeen:
 		sc.applyWaveSeen(r)
 	case MaintenanceOrdered:
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -132,11 +132,7 @@
 			sc.endedJobs = append(sc.endedJobs, j)
 			continue
 		}
-		for _, r := range j.rounds {
-			for _, s := range r.steps {
-				sc.updateReadiness(s, now)
-			}
-		}
+		sc.updateJobReadiness(j, now)
 	}
 	for _, w := range sc.workersByID {
 		w.verified, w.nextPollAt = false, now
--- a/core/sched/snapshot.go
+++ b/core/sched/snapshot.go
@@ -4,6 +4,17 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// Upper bounds for the encoded size of a step, a task and a run, in bytes, leaving aside their strings.
+	maxStepBytes = 180
+	maxTaskBytes = 90
+	maxRunBytes  = 30
+	// The same for one number.
+	maxNumberBytes = 9
 )
 
 // Snapshot returns the records that restore the current state when they are replayed: jobs, early cancellations, waves and
@@ -12,7 +23,7 @@
 	records := make([]Record, 0, len(sc.jobs)+2)
 	records = append(records, SnapshotStarted{Offset: sc.inboxOffset})
 	for _, id := range slices.Sorted(maps.Keys(sc.jobs)) {
-		records = append(records, snapshotJob(sc.jobs[id]))
+		records = append(records, snapshotJob(sc.jobs[id]).split(sc.options.maxTasksBytes())...)
 	}
 	for id := range sc.earlyCancels {
 		records = append(records, JobCancelled{ID: id})
@@ -62,24 +73,51 @@
 	return saved
 }
 
+// split returns the snapshot as it is if the job with its tasks takes at most maxBytes, else the job alone and its tasks in records of
+// at most that size.
+func (r JobSnapshot) split(maxBytes int) []Record {
+	size := r.Job.maxEncodedBytes()
+	for i := range r.Tasks {
+		size += r.Tasks[i].maxEncodedBytes()
+	}
+	if size <= maxBytes {
+		return []Record{r}
+	}
+	tasks := r.Tasks
+	r.Tasks = nil
+	records := []Record{r}
+	for len(tasks) > 0 {
+		n, size := 1, tasks[0].maxEncodedBytes()
+		for n < len(tasks) && size+tasks[n].maxEncodedBytes() <= maxBytes {
+			size += tasks[n].maxEncodedBytes()
+			n++
+		}
+		records = append(records, TasksSnapshot{Job: r.Job.ID, Tasks: tasks[:n]})
+		tasks = tasks[n:]
+	}
+	return records
+}
+
+func (s *JobSpec) maxEncodedBytes() int {
+	size := maxStepBytes + len(s.ID) + len(s.Queue) + len(s.Pool) + len(s.Team) + len(s.Payload)
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		size += maxStepBytes + maxNumberBytes*len(step.DependsOn) + len(step.Label) + len(step.DataRack) + len(step.Image)
+	}
+	return size
+}
+
+func (t *taskSnapshot) maxEncodedBytes() int {
+	size := maxTaskBytes + len(t.Task.Job) + len(t.Checkpoint)
+	for i := range t.Runs {
+		size += maxRunBytes + len(t.Runs[i].Worker)
+	}
+	return size
+}
+
 func (sc *Scheduler) restoreJob(r JobSnapshot) {
 	j := sc.addJob(JobAccepted{Job: r.Job})
 	j.started = r.Started
-	for _, saved := range r.Tasks {
-		t := j.taskByID(saved.Task)
-		if t == nil {
-			continue
-		}
-		t.attempts, t.failures, t.checkpoint = saved.Attempts, saved.Failures, saved.Checkpoint
-		for _, run := range saved.Runs {
-			w := sc.ensureWorker(run.Worker)
-			w.incarnation = run.Incarnation
-			sc.addRun(t, w, run.Attempt).phase = runInherited
-		}
-		if saved.Done && !t.done {
-			sc.completeTask(t, time.Time{})
-		}
-	}
 	j.cancelled, j.finalState = r.Cancelled, r.FinalState
 	if !j.isOpen() {
 		delete(sc.openJobs, j)
@@ -87,9 +125,37 @@
 	if r.EndedMs > 0 {
 		j.endedAt = time.UnixMilli(r.EndedMs)
 	}
-	for _, round := range j.rounds {
-		for _, s := range round.steps {
-			sc.updateReadiness(s, time.Time{})
-		}
+	for i := range r.Tasks {
+		sc.restoreTask(j, &r.Tasks[i])
+	}
+	sc.updateJobReadiness(j, time.Time{})
+}
+
+// restoreTasks fails if the job of the tasks is unknown.
+func (sc *Scheduler) restoreTasks(r TasksSnapshot) error {
+	j, known := sc.jobs[r.Job]
+	if !known {
+		return eris.Errorf("tasks of the unknown job %s", r.Job)
+	}
+	for i := range r.Tasks {
+		sc.restoreTask(j, &r.Tasks[i])
+	}
+	sc.updateJobReadiness(j, time.Time{})
+	return nil
+}
+
+func (sc *Scheduler) restoreTask(j *job, saved *taskSnapshot) {
+	t := j.taskByID(saved.Task)
+	if t == nil {
+		return
+	}
+	t.attempts, t.failures, t.checkpoint = saved.Attempts, saved.Failures, saved.Checkpoint
+	for _, run := range saved.Runs {
+		w := sc.ensureWorker(run.Worker)
+		w.incarnation = run.Incarnation
+		sc.addRun(t, w, run.Attempt).phase = runInherited
+	}
+	if saved.Done && !t.done {
+		sc.completeTask(t, time.Time{})
 	}
 }
--- a/core/sched/snapshot_test.go
+++ b/core/sched/snapshot_test.go
@@ -1,9 +1,12 @@
 package sched
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 // Guards against losing accepted jobs: an owner lost the journal in the middle of writing a snapshot, and its successor took
@@ -179,3 +182,119 @@
 		})
 	}
 }
+
+// Guards against a scheduler that stops for good: the snapshot of one job with thousands of attempted tasks was a single record,
+// larger than the log takes, so that its append failed for ever (review/1).
+func TestSnapshotOfAJobWithManyTasksIsSplit(t *testing.T) {
+	const tasks = 10000
+	journal := []Record{JobAccepted{Job: JobSpec{
+		ID: "5c0e7a21d94b36f8", Queue: "plans", Pool: "pots", Team: "floor", Payload: strings.Repeat("p", 4000),
+		Steps: []StepSpec{{Count: tasks, CPU: 400, EstimateMs: 800, Checkpoints: true}, {Count: 1, CPU: 400, DependsOn: []int{0}}},
+	}}}
+	for n := range tasks {
+		id := TaskID{Job: "5c0e7a21d94b36f8", Index: n}
+		journal = append(journal, TaskStarted{Task: id, Attempt: 1, Worker: fmt.Sprintf("i-%010d", n%9), Incarnation: testStart.UnixMilli()})
+		switch n % 3 {
+		case 0:
+			journal = append(journal, TaskEnded{Task: id, Attempt: 1, Outcome: AttemptDone})
+		case 1:
+			journal = append(journal, TaskEnded{Task: id, Attempt: 1, Outcome: AttemptStopped, Checkpoint: fmt.Sprintf("%016d", n)})
+		}
+	}
+	first := New(Options{})
+	for _, r := range journal {
+		assert.NilError(t, first.Replay(r))
+	}
+	snapshot := first.Snapshot()
+	second := New(Options{})
+	for _, r := range journal[:1] {
+		assert.NilError(t, second.Replay(r))
+	}
+	for _, r := range snapshot {
+		raw, err := Encode(r)
+		assert.NilError(t, err)
+		assert.Assert(t, len(raw) <= defaultMaxRecordBytes, "%T of %d bytes", r, len(raw))
+		decoded, err := Decode(raw)
+		assert.NilError(t, err)
+		assert.Equal(t, second.jobs["5c0e7a21d94b36f8"].runCount, 0, "the snapshot counts only whole")
+		assert.NilError(t, second.Replay(decoded))
+	}
+	a, b := first.jobs["5c0e7a21d94b36f8"], second.jobs["5c0e7a21d94b36f8"]
+	assert.Equal(t, b.runCount, a.runCount)
+	assert.Equal(t, b.started, true)
+	for n, saved := range b.rounds[0].steps[0].tasks {
+		original := a.rounds[0].steps[0].tasks[n]
+		assert.Equal(t, saved.done, original.done)
+		assert.Equal(t, saved.checkpoint, original.checkpoint)
+		assert.Equal(t, len(saved.runs), len(original.runs))
+	}
+	assert.Equal(t, b.rounds[0].steps[0].waitingTasks, a.rounds[0].steps[0].waitingTasks)
+	assert.Equal(t, b.rounds[0].steps[0].remainingTasks, a.rounds[0].steps[0].remainingTasks)
+}
+
+// Guards against records of a snapshot that are larger than the bounds that split goes by.
+func TestSizeOfSnapshotRecordsIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		number := rapid.Int64Range(0, 1<<62)
+		text := rapid.StringN(0, 30, 40)
+		spec := JobSpec{
+			ID: text.Draw(t, "id"), Queue: text.Draw(t, "queue"), Pool: text.Draw(t, "pool"), Team: text.Draw(t, "team"),
+			Payload: text.Draw(t, "payload"), StartMs: number.Draw(t, "start"), IntervalMs: number.Draw(t, "interval"),
+			Repetitions: int(number.Draw(t, "repetitions")), Priority: int(number.Draw(t, "priority")), MaxAttempts: int(number.Draw(t, "attempts")),
+			Slack: rapid.Float64().Draw(t, "slack"), TargetMs: number.Draw(t, "target"), AcceptedMs: number.Draw(t, "accepted"),
+			FirstReceivedMs: number.Draw(t, "received"), OverShare: rapid.Bool().Draw(t, "over-share"),
+		}
+		for range rapid.IntRange(0, 3).Draw(t, "steps") {
+			spec.Steps = append(spec.Steps, StepSpec{
+				Count: int(number.Draw(t, "count")), CPU: int(number.Draw(t, "cpu")), MemMB: int(number.Draw(t, "memory")), GPU: int(number.Draw(t, "gpu")),
+				EstimateMs: number.Draw(t, "estimate"), Label: text.Draw(t, "label"), DataRack: text.Draw(t, "rack"), Image: text.Draw(t, "image"),
+				DependsOn:    rapid.SliceOfN(rapid.IntRange(0, 1<<62), 0, 4).Draw(t, "depends-on"),
+				MaxPerWorker: int(number.Draw(t, "max-per-worker")), TargetMs: number.Draw(t, "target"), MaxUnavailable: int(number.Draw(t, "max-unavailable")),
+			})
+		}
+		accepted, err := Encode(JobAccepted{Job: spec})
+		assert.NilError(t, err)
+		saved := JobSnapshot{Job: spec, EndedMs: number.Draw(t, "ended"), FinalState: StateFailed, Started: true}
+		alone, err := Encode(saved)
+		assert.NilError(t, err)
+		assert.Assert(t, len(alone) <= len(accepted)+maxJobOverheadBytes)
+		bound := spec.maxEncodedBytes()
+		for range rapid.IntRange(1, 3).Draw(t, "tasks") {
+			task := taskSnapshot{
+				Task:     TaskID{Job: spec.ID, Round: int(number.Draw(t, "round")), Step: int(number.Draw(t, "step")), Index: int(number.Draw(t, "index"))},
+				Attempts: int(number.Draw(t, "attempts")), Failures: int(number.Draw(t, "failures")), Checkpoint: text.Draw(t, "checkpoint"),
+			}
+			for range rapid.IntRange(0, 3).Draw(t, "runs") {
+				task.Runs = append(task.Runs, runSnapshot{Attempt: int(number.Draw(t, "attempt")), Worker: text.Draw(t, "worker"), Incarnation: number.Draw(t, "incarnation")})
+			}
+			bound += task.maxEncodedBytes()
+			saved.Tasks = append(saved.Tasks, task)
+		}
+		whole, err := Encode(saved)
+		assert.NilError(t, err)
+		assert.Assert(t, len(whole) <= bound, "%d bytes, bound %d", len(whole), bound)
+	})
+}
+
+// Guards against a record that the log doesn't take: a worker reports a checkpoint of any length.
+func TestCheckpointThatNoRecordHoldsIsNotStored(t *testing.T) {
+	b := newTestBench(t, 1)
+	step := oneCoreStep(1)
+	step.Checkpoints = true
+	b.submit("a", step)
+	o := b.answerStarts(AnswerOK)[0]
+	huge := strings.Repeat("c", defaultMaxRecordBytes)
+	b.sc.ApplyResult(b.now, PollResult{Order: PollWorker{Worker: o.Worker}, SentAt: b.now, Incarnation: 1, Active: []ActiveRun{
+		{Task: o.Task, Attempt: o.Attempt, Checkpoint: huge, SpeedPercent: fullSpeed},
+	}})
+	b.sc.ApplyResult(b.now, PollResult{Order: PollWorker{Worker: o.Worker}, SentAt: b.now, Incarnation: 1, Ended: []EndedRun{
+		{Number: 1, Task: o.Task, Attempt: o.Attempt, Outcome: AttemptStopped, Checkpoint: huge},
+	}})
+	b.decideAndStore()
+	for _, r := range append(b.records, b.sc.Snapshot()...) {
+		raw, err := Encode(r)
+		assert.NilError(t, err)
+		assert.Assert(t, len(raw) <= defaultMaxRecordBytes, "%T of %d bytes", r, len(raw))
+	}
+	assert.Equal(t, len(takeOrders[StartTask](b)), 1, "the task starts anew")
+}
--- a/gate/intake/inbox_test.go
+++ b/gate/intake/inbox_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"mangowing/core/codes"
+	"mangowing/core/sched"
 	"mangowing/core/timer"
 	"mangowing/gate/ports"
 )
@@ -56,3 +57,12 @@
 		})
 	}
 }
+
+// Guards against an accepted job that no record of the journal holds: its append would fail for ever, and nothing be scheduled any
+// more for anybody (review/1).
+func TestJobThatNoRecordHoldsIsRefused(t *testing.T) {
+	service := &Service{maxJobBytes: sched.Options{}.MaxJobBytes()}
+	spec := sched.JobSpec{ID: "5c0e7a21d94b36f8", Steps: make([]sched.StepSpec, 20000)}
+	reply := service.submit(t.Context(), spec)
+	assert.Equal(t, reply.Code(), codes.BodyTooLarge)
+}
--- a/gate/intake/service.go
+++ b/gate/intake/service.go
@@ -60,11 +60,14 @@
 	elector    *owner.Elector
 	configs    *feed.Configs
 	log        ports.Log
+	// Jobs whose encoded JobAccepted is larger are refused, since no journal can store them.
+	maxJobBytes int
 }
 
-// New returns a service that calls the owner, and appends to the log while the owner can't be reached.
-func New(localOwner LocalOwner, network feed.Network, elector *owner.Elector, configs *feed.Configs, log ports.Log) *Service {
-	return &Service{localOwner: localOwner, network: network, elector: elector, configs: configs, log: log}
+// New returns a service that calls the owner, and appends to the log while the owner can't be reached. It refuses jobs whose encoded
+// JobAccepted exceeds maxJobBytes.
+func New(localOwner LocalOwner, network feed.Network, elector *owner.Elector, configs *feed.Configs, log ports.Log, maxJobBytes int) *Service {
+	return &Service{localOwner: localOwner, network: network, elector: elector, configs: configs, log: log, maxJobBytes: maxJobBytes}
 }
 
 // IsReady reports whether the gate has a configuration that is recent enough to admit calls.
@@ -159,6 +162,10 @@
 		klog.ErrorS(err, "job-not-encoded", "job", spec.ID)
 		return newRefusal(codes.MalformedRequest, 0)
 	}
+	if len(record) > s.maxJobBytes {
+		klog.InfoS("job-refused", "job", spec.ID, "code", codes.BodyTooLarge.String(), "bytes", len(record), "most", s.maxJobBytes)
+		return newRefusal(codes.BodyTooLarge, 0)
+	}
 	started := time.Now()
 	outcomeUnknown := false
 	if s.isStoreUnavailable() {
--- a/gate/lead/journal.go
+++ b/gate/lead/journal.go
@@ -47,8 +47,8 @@
 	return err
 }
 
-// append stores the records and returns the offset of the first. It returns only when all are stored, the ownership is lost or
-// the context ends.
+// append stores the records and returns the offset of the first. It returns only when all are stored, the ownership is lost, the
+// log takes a record for invalid or the context ends.
 func (j *journal) append(ctx context.Context, records [][]byte) (first int64, err error) {
 	first = -1
 	for len(records) > 0 {
@@ -69,7 +69,7 @@
 	return first, nil
 }
 
-// appendChunk repeats one append until it is confirmed. All tries carry the same sequence number, so that the log stores
+// appendChunk repeats one append until it is confirmed or can't be. All tries carry the same sequence number, so that the log stores
 // the records only once.
 func (j *journal) appendChunk(ctx context.Context, records [][]byte) (int64, error) {
 	a := ports.Append{
@@ -86,7 +86,7 @@
 		case err == nil:
 			j.sequence++
 			return offset, nil
-		case errors.Is(err, ports.ErrFenced), errors.Is(err, ports.ErrSequence), ctx.Err() != nil:
+		case errors.Is(err, ports.ErrFenced), errors.Is(err, ports.ErrSequence), errors.Is(err, ports.ErrInvalid), ctx.Err() != nil:
 			return 0, err
 		}
 		klog.V(1).InfoS("journal-append-repeated", "epoch", j.epoch, "records", len(records), "error", err.Error())
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -60,7 +60,7 @@
 		Log: p.Log, Workers: p.Workers, Machines: p.Machines, Advisor: p.Advisor, Directory: p.Directory,
 		Operators: p.Operators, Elector: n.elector, Configs: n.configs, Timers: n.timers, Options: o.Scheduler,
 	})
-	n.intake = intake.New(n.lead, n.network, n.elector, n.configs, p.Log)
+	n.intake = intake.New(n.lead, n.network, n.elector, n.configs, p.Log, o.Scheduler.MaxJobBytes())
 	n.network.Handle(n.intake.PeerHandler())
 	n.network.Handle(n.peers.SyncHandler(n.configs))
 	n.network.Handle(n.peers.FetchHandler(n.configs))
--- a/gate/ports/log.go
+++ b/gate/ports/log.go
@@ -17,6 +17,8 @@
 	ErrSequence = eris.New("the append does not follow the last one")
 	// ErrRejected means that the call surely had no effect, and may succeed later.
 	ErrRejected = eris.New("the log rejected the call")
+	// ErrInvalid means that the call had no effect, and can't succeed as it is.
+	ErrInvalid = eris.New("the log takes no such call")
 	// ErrOutcomeUnknown means that the call may have taken effect, or still may.
 	ErrOutcomeUnknown = eris.New("the log did not answer")
 	// ErrTrimmed means that the requested records are no longer kept.
@@ -55,8 +57,8 @@
 
 // Log is the platform's log. Only the first partition of each topic is used.
 type Log interface {
-	// Append returns the offset of the first record. The error wraps ErrFenced, ErrEndMismatch, ErrSequence, ErrRejected or
-	// ErrOutcomeUnknown.
+	// Append returns the offset of the first record. The error wraps ErrFenced, ErrEndMismatch, ErrSequence, ErrRejected,
+	// ErrInvalid or ErrOutcomeUnknown.
 	Append(ctx context.Context, a Append) (offset int64, err error)
 	// Read returns the records from an offset on, waiting for the first one if there is none. The page is empty if none
 	// arrives in that time. The error wraps ErrTrimmed, ErrRejected or ErrOutcomeUnknown; with ErrTrimmed the page has
