--- a/core/sched/apply_result.go
+++ b/core/sched/apply_result.go
@@ -85,6 +85,3 @@
 		}
 	}
 }
-
-// maxEndsPerPoll is the most ends that a worker lists in one answer; a full answer means that more may be pending.
-const maxEndsPerPoll = 500
--- a/core/sched/polls.go
+++ b/core/sched/polls.go
@@ -63,7 +63,7 @@
 	}
 	sc.adjustThrottling(w)
 	w.nextPollAt = now.Add(sc.minPollInterval())
-	if isFirst || len(res.Ended) >= maxEndsPerPoll {
+	if isFirst || res.MoreEnds {
 		sc.pollSoon(now, w)
 	}
 }
--- a/core/sched/polls_test.go
+++ b/core/sched/polls_test.go
@@ -137,7 +137,7 @@
 		testName string
 		partial  bool
 		expected int
-	}{{"whole list", false, 1}, {"unreadable row", true, 0}} {
+	}{{"whole list", false, 1}, {"unreadable row, or further ends", true, 0}} {
 		t.Run(s.testName, func(t *testing.T) {
 			b := newTestBench(t, 1)
 			b.submit("a", oneCoreStep(1))
@@ -149,3 +149,36 @@
 		})
 	}
 }
+
+// Guards against starting tasks again that ended well: a worker lists a limited number of ends at a time, and the runs beyond them
+// were taken for runs that it doesn't have (review/3).
+func TestRunsWhoseEndsAreNotListedYetAreNotLost(t *testing.T) {
+	const tasks, listed = 8, 3
+	b := newTestBench(t, 2)
+	step := oneCoreStep(tasks)
+	step.CPU = 10
+	b.submit("a", step)
+	starts := b.answerStarts(AnswerOK)
+	assert.Equal(t, len(starts), tasks)
+	w := starts[0].Worker
+	for _, o := range starts {
+		assert.Equal(t, o.Worker, w)
+	}
+	b.advance(time.Second)
+	takeOrders[PollWorker](b)
+	for first := 0; first < tasks; first += listed {
+		ends := starts[first:min(first+listed, tasks)]
+		res := PollResult{Order: PollWorker{Worker: w}, SentAt: b.now, GrantedAt: b.now, Incarnation: 1, MoreEnds: len(ends) == listed, Partial: len(ends) == listed}
+		for n, o := range ends {
+			res.Ended = append(res.Ended, EndedRun{Number: int64(first + n + 1), Task: o.Task, Attempt: o.Attempt, Outcome: AttemptDone})
+		}
+		b.sc.ApplyResult(b.now, res)
+		b.decideAndStore()
+		assert.Equal(t, len(takeOrders[StartTask](b)), 0, "no task may be started again")
+		if res.MoreEnds {
+			polls := takeOrders[PollWorker](b)
+			assert.Equal(t, len(polls), 1, "the further ends are asked for at once")
+		}
+	}
+	assert.Equal(t, b.state("a"), "completed")
+}
--- a/core/sched/result.go
+++ b/core/sched/result.go
@@ -65,7 +65,8 @@
 	Incarnation int64     // start of the worker's incarnation in Unix milliseconds, 0 if unknown
 	Active      []ActiveRun
 	Ended       []EndedRun
-	Partial     bool // Active may be incomplete
+	Partial     bool // Active or Ended may be incomplete, so that a run in neither may still be there or have ended
+	MoreEnds    bool // the worker may have further ends, which it lists once these are acknowledged; Partial is set as well
 }
 
 // ActiveRun is a running attempt as its worker reports it.
--- a/core/sched/walk_harness_test.go
+++ b/core/sched/walk_harness_test.go
@@ -25,6 +25,7 @@
 	jobs         []string
 	shownStates  map[string]JobState  // states that clients were last shown
 	ackedDone    map[TaskID]time.Time // when the success of a task was first acknowledged to its worker
+	lastStart    map[TaskID]time.Time // when a worker last started the task
 	cancelled    map[string]bool
 	specs        map[string]JobSpec
 	violations   []string
@@ -40,6 +41,8 @@
 	runs            map[runKey]*simRun
 	ended           []EndedRun
 	lastEndNumber   int64
+	endedAt         map[int64]time.Time // by number of the end
+	leaseExpiredAt  time.Time           // last time at which its lease had expired
 	leaseEnd        time.Time
 	blockedAttempts map[TaskID]int // attempts up to this number are never started
 }
@@ -64,13 +67,15 @@
 const (
 	simMilliCores = 4000
 	simWorkers    = 5
-	stepTime      = 50 * time.Millisecond
+	// Ends that a worker lists in one answer; more are often pending.
+	simMaxListedEnds = 1
+	stepTime         = 50 * time.Millisecond
 )
 
 func newSimulation(seed uint64) *simulation {
 	w := &simulation{
 		rng: rand.New(rand.NewPCG(seed, seed)), snapshotRNG: rand.New(rand.NewPCG(seed, 0)), now: testStart, workers: map[string]*simWorker{}, shownStates: map[string]JobState{},
-		ackedDone: map[TaskID]time.Time{}, cancelled: map[string]bool{}, specs: map[string]JobSpec{}, faultsOn: true,
+		ackedDone: map[TaskID]time.Time{}, lastStart: map[TaskID]time.Time{}, cancelled: map[string]bool{}, specs: map[string]JobSpec{}, faultsOn: true,
 	}
 	for i := range simWorkers {
 		id := fmt.Sprintf("w%d", i)
@@ -81,7 +86,7 @@
 }
 
 func newSimWorker(id string, incarnation int64) *simWorker {
-	return &simWorker{id: id, incarnation: incarnation, runs: map[runKey]*simRun{}, blockedAttempts: map[TaskID]int{}}
+	return &simWorker{id: id, incarnation: incarnation, runs: map[runKey]*simRun{}, endedAt: map[int64]time.Time{}, blockedAttempts: map[TaskID]int{}}
 }
 
 func (w *simulation) reportViolation(format string, args ...any) {
@@ -312,6 +317,7 @@
 		run.outcome = AttemptFailed
 	}
 	s.runs[key] = run
+	w.lastStart[o.Task] = w.now
 	return AnswerOK
 }
 
@@ -342,10 +348,11 @@
 	return AnswerOK
 }
 
-func (s *simWorker) finish(key runKey, outcome AttemptOutcome) {
+func (s *simWorker) finish(now time.Time, key runKey, outcome AttemptOutcome) {
 	delete(s.runs, key)
 	s.lastEndNumber++
 	s.blockedAttempts[key.task] = max(s.blockedAttempts[key.task], key.attempt)
+	s.endedAt[s.lastEndNumber] = now
 	s.ended = append(s.ended, EndedRun{Number: s.lastEndNumber, Task: key.task, Attempt: key.attempt, Outcome: outcome})
 }
 
@@ -366,10 +373,13 @@
 		}
 		if _, acked := w.ackedDone[e.Task]; e.Outcome == AttemptDone && !acked {
 			w.ackedDone[e.Task] = w.now
+			w.checkRestart(s, e)
 		}
 	}
 	s.ended = kept
-	res.Ended = slices.Clone(kept)
+	res.Ended = slices.Clone(kept[:min(len(kept), simMaxListedEnds)])
+	res.MoreEnds = len(res.Ended) == simMaxListedEnds
+	res.Partial = res.MoreEnds
 	for _, key := range s.sortedRuns() {
 		if s.runs[key].stopping {
 			continue
@@ -381,13 +391,16 @@
 
 // advanceWorker ends the worker's runs that are finished or whose lease has expired.
 func (w *simulation) advanceWorker(s *simWorker) {
+	if w.now.After(s.leaseEnd) {
+		s.leaseExpiredAt = w.now
+	}
 	for _, key := range s.sortedRuns() {
 		r := s.runs[key]
 		switch {
 		case w.now.After(s.leaseEnd):
-			s.finish(key, AttemptLeaseExpired)
+			s.finish(w.now, key, AttemptLeaseExpired)
 		case w.now.After(r.endsAt):
-			s.finish(key, r.outcome)
+			s.finish(w.now, key, r.outcome)
 		}
 	}
 }
--- a/core/sched/walk_test.go
+++ b/core/sched/walk_test.go
@@ -65,6 +65,16 @@
 	}
 }
 
+// checkRestart checks, when the success of a task is acknowledged, that the task was not started again in the meantime. That is allowed
+// only if the worker's lease had expired since.
+func (w *simulation) checkRestart(s *simWorker, e EndedRun) {
+	copiesAllowed := w.specs[e.Task.Job].Steps[e.Task.Step].Speculative
+	endedAt := s.endedAt[e.Number]
+	if w.lastStart[e.Task].After(endedAt) && !s.leaseExpiredAt.After(endedAt) && !copiesAllowed {
+		w.reportViolation("task %s was started again before its success on %s was acknowledged", e.Task, s.id)
+	}
+}
+
 // isReportedDone reports whether a worker has reported the task's success, or the scheduler knows of it.
 func (w *simulation) isReportedDone(id TaskID) bool {
 	if _, acked := w.ackedDone[id]; acked {
