core/sched: another worker at a changed address doesn't prove a worker gone

A 421 counts as proof only at the address at which the worker last answered, or if it hasn't answered this owner yet; else the call counts as unanswered. Failed before: TestWrongAddressInAWorkersEntryEndsNoRuns (1 start in place of 0). TestWorkerWhoseAddressIsReusedIsGone holds the other side.

--- a/core/sched/polls.go
+++ b/core/sched/polls.go
@@ -22,13 +22,22 @@
 	case AnswerFenced:
 		sc.fenced = true
 	case AnswerWrongIncarnation:
+		if w.answeredAddress != "" && w.answeredAddress != w.entry.Address {
+			// The worker answered elsewhere, so this tells more of the entry than of the worker.
+			sc.recordUnanswered(now, w, res.Answer)
+			return
+		}
 		sc.removeWorker(now, w, "another worker answers at its address")
 	default:
-		w.unanswered++
-		w.nextPollAt = now.Add(silentPollInterval)
-		if w.unanswered == silentThreshold {
-			sc.logDecision(now, "worker-silent", "", w.id, res.Answer.String())
-		}
+		sc.recordUnanswered(now, w, res.Answer)
+	}
+}
+
+func (sc *Scheduler) recordUnanswered(now time.Time, w *worker, answer OrderAnswer) {
+	w.unanswered++
+	w.nextPollAt = now.Add(silentPollInterval)
+	if w.unanswered == silentThreshold {
+		sc.logDecision(now, "worker-silent", "", w.id, answer.String())
 	}
 }
 
@@ -47,6 +56,9 @@
 		sc.markPoolDirty(w.entry.Pool)
 	}
 	w.unanswered, w.lastAnswerAt = 0, now
+	if res.SentAt.After(w.addressSince) {
+		w.answeredAddress = w.entry.Address
+	}
 	isFirst := !w.verified
 	w.verified = true
 	for _, e := range res.Ended {
--- a/core/sched/worker.go
+++ b/core/sched/worker.go
@@ -12,6 +12,8 @@
 	id               string
 	entry            WorkerEntry
 	incarnation      int64
+	addressSince     time.Time // when its entry first had the present address
+	answeredAddress  string    // address at which it last answered, empty if it has not answered this owner yet
 	listed           bool
 	listedAt         time.Time
 	verified         bool // it has answered a call that carries the current owner's fencing token
--- a/core/sched/worker_list.go
+++ b/core/sched/worker_list.go
@@ -63,6 +63,9 @@
 		sc.logDecision(now, "worker-drains", "", id, e.Remaining.String())
 		w.staysUntil = now.Add(e.Remaining)
 	}
+	if e.Address != w.entry.Address {
+		w.addressSince = now
+	}
 	w.entry = e
 }
 
--- a/core/sched/worker_list_test.go
+++ b/core/sched/worker_list_test.go
@@ -92,3 +92,53 @@
 	b.answerPolls()
 	assert.Assert(t, b.sc.workers["w1"].isSchedulable(b.now))
 }
+
+// Guards against ending the runs of a worker that answers because another writer put an entry under its id, with the address of
+// another worker.
+func TestWrongAddressInAWorkersEntryEndsNoRuns(t *testing.T) {
+	b := newTestBench(t, 2)
+	b.submit("a", oneCoreStep(1))
+	o := b.answerStarts(AnswerOK)[0]
+	b.advance(time.Second)
+	b.answerPolls()
+	own := b.entries[o.Worker]
+	wrong := own
+	wrong.Address = "127.0.0.1:9"
+	for _, e := range []WorkerEntry{wrong, own} {
+		b.entries[o.Worker] = e
+		b.advance(100 * time.Millisecond)
+		b.listWorkers()
+		b.advance(time.Second)
+		for _, poll := range takeOrders[PollWorker](b) {
+			res := PollResult{Order: poll, SentAt: b.now, GrantedAt: b.now, Incarnation: 1}
+			switch {
+			case poll.Worker == o.Worker && e.Address != own.Address:
+				res.Answer = AnswerWrongIncarnation
+			case poll.Worker == o.Worker:
+				res.Active = []ActiveRun{{Task: o.Task, Attempt: o.Attempt, SpeedPercent: fullSpeed, Load: -1}}
+			}
+			b.sc.ApplyResult(b.now, res)
+		}
+		b.decideAndStore()
+		assert.Equal(t, len(takeOrders[StartTask](b)), 0)
+	}
+	assert.Equal(t, b.sc.jobs["a"].runCount, 1)
+	assert.Assert(t, b.sc.workers[o.Worker].answers())
+}
+
+// An address that was given to another worker shows that the worker that answered there is gone.
+func TestWorkerWhoseAddressIsReusedIsGone(t *testing.T) {
+	b := newTestBench(t, 2)
+	b.submit("a", oneCoreStep(1))
+	o := b.answerStarts(AnswerOK)[0]
+	b.advance(time.Second)
+	b.answerPolls()
+	b.advance(time.Second)
+	for _, poll := range takeOrders[PollWorker](b) {
+		if poll.Worker == o.Worker {
+			b.sc.ApplyResult(b.now, PollResult{Order: poll, Answer: AnswerWrongIncarnation, SentAt: b.now, GrantedAt: b.now})
+		}
+	}
+	b.decideAndStore()
+	assert.Equal(t, len(takeOrders[StartTask](b)), 1)
+}
