--- a/core/codes/code.go
+++ b/core/codes/code.go
@@ -61,6 +61,7 @@
 	JobUnsettled       Code = 606
 	ConfigStale        Code = 607
 	NotOwner           Code = 608
+	JobTooLarge        Code = 609
 )
 
 // Entry is the description of one code.
@@ -144,6 +145,7 @@
 	{JobUnsettled, "job-unsettled", http.StatusGatewayTimeout, Unknown, "hand the job in again with the same id", "the platform's log does not answer"},
 	{ConfigStale, "config-stale", http.StatusServiceUnavailable, NotRun, "retry through the balancer after the time in Retry-After", "the gate reaches neither the platform nor another gate"},
 	{NotOwner, "not-owner", http.StatusServiceUnavailable, NotRun, "retry through the balancer", "the scheduling gate changes; see the owner in the status"},
+	{JobTooLarge, "job-too-large", http.StatusRequestEntityTooLarge, NotRun, "split the job: it has too many steps or tasks", "nothing"},
 }
 
 var entries = indexByCode()
--- a/core/sched/spec.go
+++ b/core/sched/spec.go
@@ -43,6 +43,17 @@
 	return time.UnixMilli(s.StartMs + int64(n)*s.IntervalMs)
 }
 
+// TasksDue returns how many tasks the job has in the rounds that may begin at now.
+func (s *JobSpec) TasksDue(now time.Time) float64 {
+	tasks, _ := s.Work()
+	rounds := float64(s.RoundCount())
+	if s.IntervalMs > 0 {
+		elapsed := float64(now.UnixMilli()-s.StartMs) / float64(s.IntervalMs)
+		rounds = min(rounds, max(0, elapsed)+1)
+	}
+	return float64(tasks) * rounds
+}
+
 // IsLongRunning reports whether the job runs until it is cancelled.
 func (s *JobSpec) IsLongRunning() bool {
 	for i := range s.Steps {
--- a/gate/intake/inbox_test.go
+++ b/gate/intake/inbox_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -64,5 +65,33 @@
 	service := &Service{maxJobBytes: sched.Options{}.MaxJobBytes()}
 	spec := sched.JobSpec{ID: "5c0e7a21d94b36f8", Steps: make([]sched.StepSpec, 20000)}
 	reply := service.submit(t.Context(), spec)
-	assert.Equal(t, reply.Code(), codes.BodyTooLarge)
+	assert.Equal(t, reply.Code(), codes.JobTooLarge)
+}
+
+// Guards against an accepted job whose tasks take all of the owner's memory, and of each owner after it.
+func TestJobWithTooManyTasksDueIsRefused(t *testing.T) {
+	now := time.Now().UnixMilli()
+	step := sched.StepSpec{Count: 20, CPU: 1000}
+	scenarios := []struct {
+		testName string
+		spec     sched.JobSpec
+		refused  bool
+	}{
+		{"as many as may be", sched.JobSpec{Steps: []sched.StepSpec{{Count: maxTasksDue}}}, false},
+		{"one more", sched.JobSpec{Steps: []sched.StepSpec{{Count: maxTasksDue}, {Count: 1}}}, true},
+		{"millions", sched.JobSpec{Steps: []sched.StepSpec{{Count: 1 << 40}}}, true},
+		{"many rounds, one after the other", sched.JobSpec{Steps: []sched.StepSpec{step}, Repetitions: 1 << 30, StartMs: now, IntervalMs: 2000}, false},
+		{"many rounds at once", sched.JobSpec{Steps: []sched.StepSpec{step}, Repetitions: 1 << 30, StartMs: now}, true},
+		{"many rounds since 1970", sched.JobSpec{Steps: []sched.StepSpec{step}, Repetitions: 1 << 40, IntervalMs: 1}, true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			assert.Equal(t, s.spec.TasksDue(time.UnixMilli(now)) > maxTasksDue, s.refused)
+			if s.refused {
+				service := &Service{maxJobBytes: sched.Options{}.MaxJobBytes()}
+				reply := service.submit(t.Context(), s.spec)
+				assert.Equal(t, reply.Code(), codes.JobTooLarge)
+			}
+		})
+	}
 }
--- a/gate/intake/service.go
+++ b/gate/intake/service.go
@@ -39,7 +39,9 @@
 	inboxHedgeDelay    = 250 * time.Millisecond
 	maxInboxAppends    = 3
 	jobIDLength        = 16
-	defaultRetryAfter  = time.Second
+	// Tasks of one job that may be due at once; each takes some 150 bytes of the owner's memory.
+	maxTasksDue       = 100_000
+	defaultRetryAfter = time.Second
 	// Callers should retry after this time while neither the owner nor the log can be reached.
 	unavailableRetryAfter = 2 * time.Second
 	logUnavailableAfter   = 1200 * time.Millisecond
@@ -162,9 +164,10 @@
 		klog.ErrorS(err, "job-not-encoded", "job", spec.ID)
 		return newRefusal(codes.MalformedRequest, 0)
 	}
-	if len(record) > s.maxJobBytes {
-		klog.InfoS("job-refused", "job", spec.ID, "code", codes.BodyTooLarge.String(), "bytes", len(record), "most", s.maxJobBytes)
-		return newRefusal(codes.BodyTooLarge, 0)
+	if due := spec.TasksDue(time.Now()); len(record) > s.maxJobBytes || due > maxTasksDue {
+		klog.InfoS("job-refused", "job", spec.ID, "code", codes.JobTooLarge.String(), "bytes", len(record), "most-bytes", s.maxJobBytes,
+			"tasks-due", due, "most-tasks", maxTasksDue)
+		return newRefusal(codes.JobTooLarge, 0)
 	}
 	started := time.Now()
 	outcomeUnknown := false
