--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -50,7 +50,7 @@
 
 // taskByID returns the task and creates missing rounds up to its own, or returns nil if the job has no such task.
 func (j *job) taskByID(id TaskID) *task {
-	if id.Round >= j.spec.RoundCount() || id.Step >= len(j.spec.Steps) || id.Index >= j.spec.Steps[id.Step].Count {
+	if min(id.Round, id.Step, id.Index) < 0 || id.Round >= j.spec.RoundCount() || id.Step >= len(j.spec.Steps) || id.Index >= j.spec.Steps[id.Step].Count {
 		return nil
 	}
 	for len(j.rounds) <= id.Round {
--- a/core/sched/polls.go
+++ b/core/sched/polls.go
@@ -111,7 +111,7 @@
 // applyLateEnd completes a task whose attempt had been given up, but succeeded after all.
 func (sc *Scheduler) applyLateEnd(now time.Time, e EndedRun) {
 	j, known := sc.jobs[e.Task.Job]
-	if !known || e.Outcome != AttemptDone || !j.isOpen() {
+	if !known || e.Outcome != AttemptDone || !j.isOpen() || e.Task.Round >= len(j.rounds) {
 		return
 	}
 	t := j.taskByID(e.Task)
--- a/core/sched/snapshot_test.go
+++ b/core/sched/snapshot_test.go
@@ -298,3 +298,14 @@
 	}
 	assert.Equal(t, len(takeOrders[StartTask](b)), 1, "the task starts anew")
 }
+
+// Guards against a record with an odd task that ends each process that replays the journal.
+func TestRecordOfAnImpossibleTaskIsSkipped(t *testing.T) {
+	sc := New(Options{})
+	assert.NilError(t, sc.Replay(JobAccepted{Job: JobSpec{ID: "a", Steps: []StepSpec{oneCoreStep(1)}}}))
+	for _, id := range []TaskID{{Job: "a", Round: -1}, {Job: "a", Step: -1}, {Job: "a", Index: -1}, {Job: "a", Round: 1}, {Job: "a", Step: 1}, {Job: "a", Index: 1}} {
+		assert.ErrorContains(t, sc.Replay(TaskStarted{Task: id, Attempt: 1, Worker: "w"}), "is not in its job")
+		assert.NilError(t, sc.Replay(TaskEnded{Task: id, Attempt: 1}))
+	}
+	assert.Equal(t, sc.jobs["a"].runCount, 0)
+}
--- a/gate/feed/gate_list.go
+++ b/gate/feed/gate_list.go
@@ -4,11 +4,14 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
+	"mangowing/core/logs"
 	"mangowing/core/timer"
 	"mangowing/gate/owner"
 	"mangowing/gate/ports"
@@ -31,6 +34,23 @@
 	Cores   float64 `json:"processor"` // cores that the gate may use
 }
 
+// maxCores is the most that a gate's entry may claim; more would make all other gates count as weak.
+const maxCores = 4096
+
+func parseGateEntry(raw []byte) (gateEntry, error) {
+	var g gateEntry
+	if err := json.Unmarshal(raw, &g); err != nil {
+		return gateEntry{}, eris.Wrap(err, "decode")
+	}
+	if _, err := netip.ParseAddrPort(g.Address); err != nil {
+		return gateEntry{}, eris.Wrap(err, "address")
+	}
+	if g.Cores < 0 || g.Cores > maxCores {
+		return gateEntry{}, eris.Errorf("%g cores", g.Cores)
+	}
+	return g, nil
+}
+
 // Peers is the list of the other gates, and calls them.
 type Peers struct {
 	log     ports.Log
@@ -93,9 +113,9 @@
 		if e.Key == p.name {
 			continue
 		}
-		var g gateEntry
-		if err := json.Unmarshal(e.Value, &g); err != nil {
-			klog.ErrorS(err, "gate-entry-skipped", "gate", e.Key)
+		g, err := parseGateEntry(e.Value)
+		if err != nil {
+			klog.InfoS("gate-entry-skipped", "gate", e.Key, "why", logs.Shorten(err))
 			continue
 		}
 		gates = append(gates, g)
--- a/gate/feed/sync.go
+++ b/gate/feed/sync.go
@@ -59,6 +59,10 @@
 		klog.V(1).InfoS("peer-not-reached", "address", address, "error", err.Error())
 		return PeerVersion{}
 	}
+	if min(result.Version, result.AgeMs) < 0 {
+		klog.InfoS("peer-answer-skipped", "address", address, "version", result.Version, "age-ms", result.AgeMs)
+		return PeerVersion{}
+	}
 	if result.AgeMs < maxPeerAge.Milliseconds() {
 		p.handOverIfCutOff(ctx, address)
 	}
--- a/gate/lead/answers.go
+++ b/gate/lead/answers.go
@@ -6,6 +6,7 @@
 	"k8s.io/klog/v2"
 
 	"mangowing/core/codes"
+	"mangowing/core/logs"
 	"mangowing/core/sched"
 )
 
@@ -82,7 +83,7 @@
 	for _, raw := range page.Records {
 		record, err := sched.Decode(raw)
 		if err != nil {
-			klog.ErrorS(err, "inbox-record-skipped")
+			klog.InfoS("inbox-record-skipped", "why", logs.Shorten(err))
 			continue
 		}
 		switch r := record.(type) {
--- a/gate/lead/journal.go
+++ b/gate/lead/journal.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"mangowing/core/logs"
 	"mangowing/core/sched"
 	"mangowing/core/timer"
 	"mangowing/gate/ports"
@@ -100,6 +101,10 @@
 	if err != nil {
 		return 0, err
 	}
+	if from < 0 || from > j.endOffset {
+		klog.InfoS("snapshot-mark-out-of-range", "offset", from, "end", j.endOffset)
+		from = 0
+	}
 	n := 0
 	for from < j.endOffset {
 		page, err := readPage(ctx, j.log, journalTopic, from)
@@ -128,7 +133,7 @@
 		err = sc.Replay(record)
 	}
 	if err != nil {
-		klog.ErrorS(err, "journal-record-skipped")
+		klog.InfoS("journal-record-skipped", "why", logs.Shorten(err))
 	}
 }
 
--- a/gate/lead/journal_test.go
+++ b/gate/lead/journal_test.go
@@ -5,9 +5,11 @@
 	"errors"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"mangowing/core/sched"
 	"mangowing/gate/ports"
 )
 
@@ -37,3 +39,32 @@
 		assert.Equal(t, log.appends, 2)
 	})
 }
+
+// emptyLog has no records, and a mark of a snapshot.
+type emptyLog struct {
+	ports.Log
+	mark string
+}
+
+// Newest returns the mark.
+func (l *emptyLog) Newest(context.Context, string) ([]ports.KeyValue, error) {
+	return []ports.KeyValue{{Key: snapshotMark, Value: []byte(l.mark)}}, nil
+}
+
+// Read returns one record of the journal, and fails if the offset is out of range.
+func (l *emptyLog) Read(_ context.Context, _ string, from int64, _ time.Duration) (ports.Page, error) {
+	if from != 0 {
+		return ports.Page{}, ports.ErrInvalid
+	}
+	return ports.Page{Records: [][]byte{[]byte("record")}, EndOffset: 1}, nil
+}
+
+// Guards against a mark that names no offset of the journal, so that nothing was replayed.
+func TestOddSnapshotMarkIsIgnored(t *testing.T) {
+	for _, mark := range []string{"0", "-7", "99", "1e999", "soon", ""} {
+		j := &journal{log: &emptyLog{mark: mark}, endOffset: 1}
+		size, err := j.replay(t.Context(), sched.New(sched.Options{}))
+		assert.NilError(t, err)
+		assert.Equal(t, size, len("record"), "mark %q", mark)
+	}
+}
--- a/gate/owner/record.go
+++ b/gate/owner/record.go
@@ -5,6 +5,7 @@
 
 	"k8s.io/klog/v2"
 
+	"mangowing/core/logs"
 	"mangowing/core/timer"
 )
 
@@ -30,7 +31,7 @@
 func (e *Elector) applyRecord(offset int64, record []byte) {
 	var n ownerRecord
 	if err := json.Unmarshal(record, &n); err != nil {
-		klog.ErrorS(err, "owner-record-unreadable", "offset", offset)
+		klog.InfoS("owner-record-unreadable", "offset", offset, "why", logs.Shorten(err))
 		return
 	}
 	now := timer.SinceBoot()
