core/sched: a new owner counts tasks on machines ordered down before it as unavailable

Looked at: what a new owner knows of tasks that are away as it takes over. Ended by its predecessor's stops: listed neither as active nor as ended until the end is listed, and not confirmed, so unavailable; started but not at work: below full speed, so unavailable; a stop of the predecessor that arrives late: refused by the fence, since the worker was polled first.

Shown by TestNewOwnerCountsTasksOnMachinesOrderedDownAsUnavailable, which failed before (the new owner takes the other machine of the step after 400 ms). Machines with an order in flight that isn't confirmed have their runs counted as leaving; when the order has timed out they are counted as they are again, and the order is repeated by the usual conditions.

--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -132,15 +132,23 @@
 func (sc *Scheduler) finishMachineOrders(now time.Time, byMachine map[string]*worker) {
 	sc.machinesArriving = false
 	for _, m := range sc.machinesByID {
+		w := byMachine[m.entry.ID]
 		if m.hasOrderInFlight(now, sc.options) {
 			sc.machinesArriving = true
+			if w != nil && m.confirmedAt.IsZero() {
+				// The order may be the previous owner's, and this owner has learned of the worker's runs since.
+				w.markMachineLeaving()
+			}
 			continue
 		}
 		if !m.confirmedAt.IsZero() && m.targetPool != "" {
 			m.entry.Pool = m.targetPool
 		}
 		if m.maintenanceWave != 0 {
-			sc.retryMaintenance(now, m, byMachine[m.entry.ID])
+			if w != nil {
+				w.unmarkMachineLeaving()
+			}
+			sc.retryMaintenance(now, m, w)
 			continue
 		}
 		if !m.orderedAt.IsZero() {
--- a/core/sched/waves_test.go
+++ b/core/sched/waves_test.go
@@ -157,6 +157,49 @@
 	}
 }
 
+// Guards against ending more tasks of a step than may be away: the machine of one of them had been ordered down by the previous owner,
+// whose order may take effect at any time (issue 32).
+func TestNewOwnerCountsTasksOnMachinesOrderedDownAsUnavailable(t *testing.T) {
+	predecessor := newTestBench(t, 5)
+	predecessor.submit("a", longRunningStep(2, 1))
+	starts := predecessor.answerStarts(AnswerOK)
+	assert.Equal(t, len(starts), 2)
+	ordered, other := "m-"+starts[0].Worker, "m-"+starts[1].Worker
+	records := append(predecessor.records, MaintenanceOrdered{Wave: 1, Machine: ordered})
+
+	b := &testBench{t: t, sc: New(Options{}), now: predecessor.now, entries: predecessor.entries, lastEnd: map[string]int64{}}
+	for _, r := range records {
+		assert.NilError(t, b.sc.Replay(r))
+	}
+	b.sc.TakeOwnership(b.now, 0)
+	b.sc.Configure(b.now, testConfig())
+	b.listWorkers()
+	answer := func() {
+		for _, o := range takeOrders[PollWorker](b) {
+			res := PollResult{Order: o, SentAt: b.now, GrantedAt: b.now, Incarnation: 1}
+			for _, start := range starts {
+				if start.Worker == o.Worker {
+					res.Active = []ActiveRun{{Task: start.Task, Attempt: start.Attempt, SpeedPercent: fullSpeed, Load: -1}}
+				}
+			}
+			b.sc.ApplyResult(b.now, res)
+		}
+		b.listMachinesExcept()
+	}
+	b.declareWave(2, ordered, other)
+	for passed := time.Duration(0); passed < machineOrderTimeout; passed += 100 * time.Millisecond {
+		answer()
+		assert.Equal(t, len(takeOrders[MaintainMachine](b)), 0, "after %v", passed)
+		assert.Equal(t, len(takeOrders[StopTask](b)), 0, "after %v", passed)
+		b.advance(100 * time.Millisecond)
+	}
+	for range 10 {
+		answer()
+		b.advance(100 * time.Millisecond)
+	}
+	assert.Equal(t, len(takeOrders[MaintainMachine](b)), 1, "the order is repeated, or the other machine goes first")
+}
+
 // An unanswered order is subject to the same conditions when it is repeated as when it was first sent.
 func TestUnansweredOrderIsRepeatedOnlyWithinMaxUnavailable(t *testing.T) {
 	b := newTestBench(t, 4)
