gate/lead: the right to order is checked again right before a call of the machines' interface

A gate that is paused in between could order a machine down after another gate had taken over; machines have no fence until the new owner orders there.

Both go through ifAllowed now. Test: TestOrderIsWithdrawnWhenTheRightToOrderHasPassed.

--- a/gate/lead/orders.go
+++ b/gate/lead/orders.go
@@ -40,17 +40,19 @@
 	case sched.RequestAdvice:
 		t.runAsync(ctx, adviceTimeout, sched.AdviceResult{Order: o, Answer: sched.AnswerUnknown}, func(ctx context.Context) sched.OrderResult { return t.deps.Advisor.Advise(ctx, o) })
 	case sched.MoveMachine:
-		t.dispatchMachineOrder(ctx, o, sched.MoveResult{Order: o, Answer: sched.AnswerUnknown}, func(ctx context.Context) sched.OrderResult {
-			return sched.MoveResult{Order: o, Answer: t.deps.Machines.Move(ctx, o, t.epoch)}
-		})
+		t.dispatchMachineOrder(ctx, o, sched.MoveResult{Order: o, Answer: sched.AnswerUnknown}, sched.MoveResult{Order: o, Answer: sched.AnswerWithdrawn},
+			func(ctx context.Context) sched.OrderResult {
+				return sched.MoveResult{Order: o, Answer: t.deps.Machines.Move(ctx, o, t.epoch)}
+			})
 	case sched.MaintainMachine:
 		if !t.scheduler.CanStillMaintain(o) {
 			t.scheduler.ApplyResult(time.Now(), sched.MaintenanceResult{Order: o, Answer: sched.AnswerWithdrawn})
 			return
 		}
-		t.dispatchMachineOrder(ctx, o, sched.MaintenanceResult{Order: o, Answer: sched.AnswerUnknown}, func(ctx context.Context) sched.OrderResult {
-			return sched.MaintenanceResult{Order: o, Answer: t.deps.Machines.Maintain(ctx, o, t.epoch)}
-		})
+		t.dispatchMachineOrder(ctx, o, sched.MaintenanceResult{Order: o, Answer: sched.AnswerUnknown}, sched.MaintenanceResult{Order: o, Answer: sched.AnswerWithdrawn},
+			func(ctx context.Context) sched.OrderResult {
+				return sched.MaintenanceResult{Order: o, Answer: t.deps.Machines.Maintain(ctx, o, t.epoch)}
+			})
 	case sched.ReportWave:
 		go t.reportWave(ctx, o)
 	}
@@ -68,16 +70,23 @@
 	dispatchedAt := time.Now()
 	t.callWorker(ctx, o.Worker, sched.StartResult{Order: o, Answer: sched.AnswerUnknown}, orderTimeout,
 		func(ctx context.Context, to ports.Target) sched.OrderResult {
-			if !t.deps.Elector.CanOrder() {
-				// The process was paused after the order was dispatched, and may have lost the ownership since.
-				return sched.StartResult{Order: o, Answer: sched.AnswerWithdrawn}
-			}
-			res := t.deps.Workers.Start(ctx, to, o, t.epoch)
-			res.Latency = time.Since(dispatchedAt)
-			return res
+			return ifAllowed(t.deps.Elector.CanOrder, sched.StartResult{Order: o, Answer: sched.AnswerWithdrawn}, func() sched.OrderResult {
+				res := t.deps.Workers.Start(ctx, to, o, t.epoch)
+				res.Latency = time.Since(dispatchedAt)
+				return res
+			})
 		})
 }
 
+// ifAllowed calls send if this gate may order right now, else the result is withdrawn. The process may have been paused since the order
+// was dispatched, and have lost the ownership.
+func ifAllowed(canOrder func() bool, withdrawn sched.OrderResult, send func() sched.OrderResult) sched.OrderResult {
+	if !canOrder() {
+		return withdrawn
+	}
+	return send()
+}
+
 // poll polls a worker. An owner that has not reached the log for long renews no leases.
 func (t *term) poll(ctx context.Context, to ports.Target, o sched.PollWorker) sched.OrderResult {
 	request := o
@@ -89,12 +98,14 @@
 	return res
 }
 
-func (t *term) dispatchMachineOrder(ctx context.Context, o sched.Order, noAnswer sched.OrderResult, f func(context.Context) sched.OrderResult) {
+func (t *term) dispatchMachineOrder(ctx context.Context, o sched.Order, noAnswer, withdrawn sched.OrderResult, f func(context.Context) sched.OrderResult) {
 	if !t.deps.Elector.CanOrder() {
 		t.heldOrders = append(t.heldOrders, o)
 		return
 	}
-	t.runAsync(ctx, machineTimeout, noAnswer, f)
+	t.runAsync(ctx, machineTimeout, noAnswer, func(ctx context.Context) sched.OrderResult {
+		return ifAllowed(t.deps.Elector.CanOrder, withdrawn, func() sched.OrderResult { return f(ctx) })
+	})
 }
 
 // callWorker calls a worker. If its address is unknown, the result is noAnswer.
--- a/gate/lead/orders_test.go
+++ b/gate/lead/orders_test.go
@@ -26,3 +26,18 @@
 		t.Fatal("no result")
 	}
 }
+
+// Guards against an order that goes out after the right to give it has passed: the process was paused between the dispatch and the call.
+func TestOrderIsWithdrawnWhenTheRightToOrderHasPassed(t *testing.T) {
+	move := sched.MoveMachine{Machine: "m", Pool: "pots"}
+	withdrawn := sched.MoveResult{Order: move, Answer: sched.AnswerWithdrawn}
+	for _, allowed := range []bool{true, false} {
+		sent := false
+		result := ifAllowed(func() bool { return allowed }, withdrawn, func() sched.OrderResult {
+			sent = true
+			return sched.MoveResult{Order: move}
+		})
+		assert.Equal(t, sent, allowed)
+		assert.Equal(t, result == sched.OrderResult(withdrawn), !allowed)
+	}
+}
