--- a/gate/owner/elector.go
+++ b/gate/owner/elector.go
@@ -57,7 +57,10 @@
 	topicEnd      int64         // highest known end offset of the topic
 	lastReadAt    time.Duration // start of the last successful read
 	vacantSince   time.Duration // when the lack of an owner was first noticed, 0 if there is an owner
-	candidate     Candidate
+	missedAt      time.Duration // when records were last found to be trimmed before this gate had read them
+	// The heartbeats of all owners before the latest one were sent before this time.
+	predecessorSeenAt time.Duration
+	candidate         Candidate
 }
 
 // Candidate is the gate for which an Elector claims the ownership.
@@ -152,9 +155,12 @@
 // CanRenew reports whether this gate is owner and may renew leases.
 func (e *Elector) CanRenew() bool { return e.hasFreshHeartbeat(maxHeartbeatAgeToRenew) }
 
-// PredecessorRenewalTime returns for how long from now the previous owner may still renew leases.
+// PredecessorRenewalTime returns for how long from now previous owners may still renew leases. A previous owner may live on behind a
+// partition, also if it refuses connections.
 func (e *Elector) PredecessorRenewalTime() time.Duration {
-	return maxHeartbeatAgeToRenew - ownerTimeout
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(0, e.predecessorSeenAt+maxHeartbeatAgeToRenew-timer.SinceBoot())
 }
 
 func (e *Elector) hasFreshHeartbeat(maxAge time.Duration) bool {
@@ -234,7 +240,7 @@
 	page, err := e.log.Read(readCtx, topic, from, wait)
 	if errors.Is(err, ports.ErrTrimmed) {
 		e.mu.Lock()
-		e.nextOffset = page.OldestOffset
+		e.nextOffset, e.missedAt = page.OldestOffset, timer.SinceBoot()
 		e.mu.Unlock()
 		return nil
 	}
--- a/gate/owner/record.go
+++ b/gate/owner/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -38,6 +39,7 @@
 	switch n.Kind {
 	case kindClaim:
 		klog.InfoS("owner-claimed", "owner", n.Name, "epoch", offset+1)
+		e.predecessorSeenAt = e.lastSeenOwner(now)
 		e.view = View{name: n.Name, address: n.Address, epoch: offset + 1, lastSeen: now}
 		e.applyClaim(n, offset+1)
 		e.notify()
@@ -52,6 +54,14 @@
 	}
 }
 
+// lastSeenOwner returns a time after which no owner so far has sent a heartbeat.
+func (e *Elector) lastSeenOwner(now time.Duration) time.Duration {
+	if e.view.name == "" {
+		return now
+	}
+	return max(e.view.lastSeen, e.missedAt)
+}
+
 // applyClaim makes this gate the owner if the claim is its own, else it ends this gate's ownership.
 func (e *Elector) applyClaim(n ownerRecord, epoch int64) {
 	if n.Instance == e.instance && !e.stopped {
