gate/owner: the test of a predecessor's renewals has no tolerance

Now the bound is the time that has passed in the test, and with the old formula it fails (4.4 s), as do "released a moment ago", "silent for long" (twice) and "no owner known".

--- a/gate/owner/elector_test.go
+++ b/gate/owner/elector_test.go
@@ -13,7 +13,6 @@
 // Guards against taking leases for expired that the previous owner has renewed behind a partition: a claim comes early if the owner
 // refuses connections, and the time for which it may renew was counted as if all claims came late (review/5).
 func TestPredecessorRenewalTimeCountsFromItsLastHeartbeat(t *testing.T) {
-	const tolerance = time.Second
 	scenarios := []struct {
 		testName string
 		view     View
@@ -41,7 +40,8 @@
 			e.applyRecord(7, claim)
 			assert.Equal(t, e.OwnEpoch(), int64(8))
 			remaining := e.PredecessorRenewalTime()
-			assert.Assert(t, remaining <= s.expected && remaining >= s.expected-tolerance, "%v", remaining)
+			elapsed := timer.SinceBoot() - now
+			assert.Assert(t, remaining <= s.expected && remaining >= max(0, s.expected-elapsed), "%v", remaining)
 		})
 	}
 }
