core/sched: the policy service is asked about all workers in turn (LOST)

Cause: each request named the first 24 workers with room and without a ticket, so those that the policy had refused were asked about again and again. Refusals are remembered for the step and the worker's incarnation; the half second before the next request is for failed calls only. TestAllWorkersAreAskedAbout failed before (0 starts in place of 2).

--- a/core/sched/advice.go
+++ b/core/sched/advice.go
@@ -9,7 +9,7 @@
 const (
 	// One request for advice names at most this many workers.
 	maxAdviceWorkers = 24
-	// The policy service is asked again for the same step after this time.
+	// The policy service is asked again for the same step this long after a call that failed.
 	adviceRetryInterval = 500 * time.Millisecond
 	// Tickets are not used in this time before they expire.
 	ticketMargin = 500 * time.Millisecond
@@ -45,11 +45,18 @@
 	return ticketed > 0
 }
 
-// requestTickets asks the policy service for tickets for workers that have room and the right label, but no ticket.
+// isUnapproved reports whether the policy service has not let the worker's current incarnation run the step. That does not change.
+func (s *step) isUnapproved(w *worker) bool {
+	incarnation, found := s.unapproved[w.id]
+	return found && incarnation == w.incarnation
+}
+
+// requestTickets asks the policy service for tickets for workers that have room and the right label, but no ticket. The workers that it
+// has not approved are not asked about again, so that repeated requests go through all workers.
 func (sc *Scheduler) requestTickets(now time.Time, s *step, workers []*worker) {
 	var ids []string
 	for _, w := range workers {
-		if !s.hasTicket(w, now) && w.hasLabel(s.spec.Label) && s.spec.Reservation().FitsWithin(w.free()) {
+		if !s.hasTicket(w, now) && !s.isUnapproved(w) && w.hasLabel(s.spec.Label) && s.spec.Reservation().FitsWithin(w.free()) {
 			ids = append(ids, w.id)
 		}
 		if len(ids) == maxAdviceWorkers {
@@ -76,18 +83,26 @@
 		return
 	}
 	s := t.step
-	s.advicePending, s.nextAdviceAt = false, now.Add(adviceRetryInterval)
+	s.advicePending = false
 	if res.Answer != AnswerOK {
+		s.nextAdviceAt = now.Add(adviceRetryInterval)
 		sc.logDecision(now, "advice-failed", res.Order.Step, "", res.Answer.String())
 		return
 	}
 	if s.tickets == nil {
-		s.tickets = map[string]ticket{}
+		s.tickets, s.unapproved = map[string]ticket{}, map[string]int64{}
 	}
-	for id, text := range res.Tickets {
-		if w, found := sc.workers[id]; found {
-			s.tickets[id] = ticket{text, w.incarnation, res.SentAt.Add(res.Validity - ticketMargin)}
+	for _, id := range res.Order.Workers {
+		w, found := sc.workers[id]
+		if !found {
+			continue
+		}
+		text, approved := res.Tickets[id]
+		if !approved {
+			s.unapproved[id] = w.incarnation
+			continue
 		}
+		s.tickets[id] = ticket{text, w.incarnation, res.SentAt.Add(res.Validity - ticketMargin)}
 	}
 	sc.markPoolDirty(sc.currentPool(j))
 }
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -111,6 +111,7 @@
 	ready          bool // all dependencies are done
 	readyAt        time.Time
 	tickets        map[string]ticket // by worker id
+	unapproved     map[string]int64  // incarnations of the workers that the policy service does not let run the step, by worker id
 	advicePending  bool              // a RequestAdvice has not been answered yet
 	nextAdviceAt   time.Time         // no RequestAdvice before this time
 	runsByWorker   map[string]int    // attempts by worker id
