gate/intake: the pauses between calls of an owner that doesn't answer grow

The owner loses its heartbeats over them, and 1,125 jobs come by the inbox meanwhile, which refuses none.

A request's pauses after a call without an answer start at 120 ms and grow to 500 ms, with jitter; after "not the owner" they stay 60 ms. Test: TestPausesGrowWhileTheOwnerDoesNotAnswer.

--- a/gate/intake/service.go
+++ b/gate/intake/service.go
@@ -34,7 +34,6 @@
 	ownerCallTimeout = 800 * time.Millisecond
 	// The inbox is used when the owner could not be reached for this long.
 	ownerRetryTime     = 900 * time.Millisecond
-	retryPause         = 60 * time.Millisecond
 	inboxAppendTimeout = 1200 * time.Millisecond
 	inboxHedgeDelay    = 250 * time.Millisecond
 	maxInboxAppends    = 3
@@ -175,7 +174,7 @@
 		klog.V(1).InfoS("job-refused", "job", spec.ID, "why", "neither the owner nor the log can be reached")
 		return newRefusal(codes.JobStoreAway, unavailableRetryAfter)
 	}
-	for time.Since(started) < ownerRetryTime && ctx.Err() == nil {
+	for pauses := newRetryPauses(); time.Since(started) < ownerRetryTime && ctx.Err() == nil; {
 		a := s.callOwner(ctx, request{Kind: kindSubmit, Record: record, ID: spec.ID}, func(ctx context.Context) lead.Answer {
 			return s.localOwner.Submit(ctx, spec)
 		})
@@ -191,7 +190,7 @@
 		default:
 			return Reply{code: a.Code()}
 		}
-		timer.Sleep(ctx, retryPause)
+		timer.Sleep(ctx, pauses.after(a.Code()))
 	}
 	return s.appendToInbox(ctx, record, spec.ID, outcomeUnknown)
 }
@@ -235,13 +234,13 @@
 	ctx, cancel := context.WithDeadline(ctx, answerDeadline(c))
 	defer cancel()
 	started := time.Now()
-	for time.Since(started) < ownerRetryTime && ctx.Err() == nil {
+	for pauses := newRetryPauses(); time.Since(started) < ownerRetryTime && ctx.Err() == nil; {
 		a := s.callOwner(ctx, request{Kind: kindCancel, ID: id}, func(ctx context.Context) lead.Answer { return s.localOwner.Cancel(ctx, id) })
 		if a.Code() != codes.NotOwner && a.Code() != codes.JobUnsettled {
 			recordCall("cancel", a.Code(), c.Received)
 			return Reply{code: a.Code()}
 		}
-		timer.Sleep(ctx, retryPause)
+		timer.Sleep(ctx, pauses.after(a.Code()))
 	}
 	record, err := sched.Encode(sched.JobCancelled{ID: id})
 	if err != nil {
@@ -259,7 +258,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, answerDeadline(c))
 	defer cancel()
-	for ctx.Err() == nil {
+	for pauses := newRetryPauses(); ctx.Err() == nil; {
 		var a lead.Answer
 		if id == "" {
 			a = s.callOwner(ctx, request{Kind: kindPending, Queue: q.Name}, func(ctx context.Context) lead.Answer { return s.localOwner.Pending(ctx, q.Name) })
@@ -270,7 +269,7 @@
 			recordCall("state", a.Code(), c.Received)
 			return Reply{code: a.Code(), state: a.State(), pending: a.Count()}, id == ""
 		}
-		timer.Sleep(ctx, retryPause)
+		timer.Sleep(ctx, pauses.after(a.Code()))
 	}
 	recordCall("state", codes.NotOwner, c.Received)
 	return newRefusal(codes.NotOwner, defaultRetryAfter), id == ""
