core/sched: a machine that was last listed in maintenance counts as down

A machine's entry isn't updated while an order to it is in flight. An order without an answer that takes effect late times out while the machine is away; until the next list it counted as up, and as its worker is silent the order isn't repeated but another machine taken. The state as last listed is kept beside the entry, and counts. TestMachineThatIsListedInMaintenanceCountsAsDown failed before ("m-w2 != m-w1: no second machine may be down").

--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -20,12 +20,13 @@
 
 // machine is a VM of the fleet and the last order sent to it. It runs a new worker after each move or maintenance.
 type machine struct {
-	entry           MachineEntry
-	targetPool      string    // pool that it was ordered to move to, empty if it is not moving
-	maintenanceWave int64     // wave that it was ordered down for, 0 for none
-	orderedAt       time.Time // when the last order was sent, zero if none is open
-	confirmedAt     time.Time // when the answer confirmed the order, which may have taken effect earlier
-	backoffUntil    time.Time // it refused an order; no new one until then
+	entry           MachineEntry // as listed when no order was in flight
+	listedState     MachineState // as last listed
+	targetPool      string       // pool that it was ordered to move to, empty if it is not moving
+	maintenanceWave int64        // wave that it was ordered down for, 0 for none
+	orderedAt       time.Time    // when the last order was sent, zero if none is open
+	confirmedAt     time.Time    // when the answer confirmed the order, which may have taken effect earlier
+	backoffUntil    time.Time    // it refused an order; no new one until then
 }
 
 // hasOrderInFlight reports whether an order to the machine may not be complete yet.
@@ -58,6 +59,7 @@
 				m.entry, m.maintenanceWave, m.orderedAt = e, wave, now
 			}
 		}
+		m.listedState = e.State
 		sc.removeReplacedWorkers(now, requestedAt, e, workersByMachine[e.ID])
 		if !m.confirmedAt.IsZero() && requestedAt.After(m.confirmedAt) {
 			sc.verifyOrderEffect(now, m, e, workersByMachine[e.ID])
--- a/core/sched/waves.go
+++ b/core/sched/waves.go
@@ -103,7 +103,7 @@
 			// The machine no longer exists.
 		case m.maintenanceWave == wv.spec.Number && (m.hasOrderInFlight(now, sc.options) || m.entry.State == MachineInMaintenance):
 			down++
-		case m.entry.State == MachineInMaintenance:
+		case m.entry.State == MachineInMaintenance || m.listedState == MachineInMaintenance:
 			down++
 		case !done:
 			pending = append(pending, m)
--- a/core/sched/waves_test.go
+++ b/core/sched/waves_test.go
@@ -200,6 +200,32 @@
 	assert.Equal(t, len(takeOrders[MaintainMachine](b)), 1, "the order is repeated, or the other machine goes first")
 }
 
+// Guards against more machines down than a wave allows: an order without an answer took effect late, and when it had timed out, the machine
+// counted as up until the next list, though the last list had shown it in maintenance.
+func TestMachineThatIsListedInMaintenanceCountsAsDown(t *testing.T) {
+	b := newTestBench(t, 4)
+	b.listMachinesExcept()
+	b.declareWave(1, "m-w1", "m-w2")
+	b.runFor(time.Second)
+	taken := takeOrders[MaintainMachine](b)
+	assert.Equal(t, len(taken), 1)
+	orderedAt := b.sc.machines[taken[0].Machine].orderedAt
+	b.sc.ApplyResult(b.now, MaintenanceResult{Order: taken[0], Answer: AnswerUnknown})
+	for b.now.Before(orderedAt.Add(machineOrderTimeout - time.Second)) {
+		b.runFor(100 * time.Millisecond)
+	}
+	for b.now.Before(orderedAt.Add(machineOrderTimeout + 800*time.Millisecond)) {
+		b.advance(100 * time.Millisecond)
+		b.answerPolls(taken[0].Machine[len("m-"):])
+		if b.now.Before(orderedAt.Add(machineOrderTimeout - 100*time.Millisecond)) {
+			b.listMachinesExcept(taken[0].Machine)
+		}
+		for _, o := range takeOrders[MaintainMachine](b) {
+			assert.Equal(t, o.Machine, taken[0].Machine, "no second machine may be down")
+		}
+	}
+}
+
 // An unanswered order is subject to the same conditions when it is repeated as when it was first sent.
 func TestUnansweredOrderIsRepeatedOnlyWithinMaxUnavailable(t *testing.T) {
 	b := newTestBench(t, 4)
