--- a/core/sched/worker.go
+++ b/core/sched/worker.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -102,3 +103,77 @@
 	w.runList = slices.DeleteFunc(w.runList, func(other *run) bool { return other == r })
 	w.used = w.used.Sub(r.spec().Reservation())
 }
+
+// ranksBefore reports whether the worker rather than the other one is the present worker of the machine that both name: one that
+// is listed, then one that answers, then one that has runs, then the later one.
+func (w *worker) ranksBefore(other *worker) bool {
+	order := cmp.Or(
+		compareTrueFirst(w.listed, other.listed),
+		compareTrueFirst(w.answers(), other.answers()),
+		compareTrueFirst(len(w.runs) > 0, len(other.runs) > 0),
+		cmp.Compare(other.incarnation, w.incarnation),
+	)
+	return order < 0
+}
+
+// isIdle reports whether the worker is known to have no runs, so that its machine may be moved.
+func (w *worker) isIdle() bool {
+	return len(w.runs) == 0 && w.answers() && !w.entry.Draining
+}
+
+// isHealthy reports whether the worker takes new tasks, leaving aside a backoff, quarantine or surplus mark, which end soon.
+func (w *worker) isHealthy() bool {
+	return w.answers() && !w.entry.Draining && !w.cordoned
+}
+
+func (w *worker) hasLongRunning() bool {
+	for _, r := range w.runList {
+		if r.spec().LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// countBatchRuns returns how many runs on the worker end by themselves.
+func (w *worker) countBatchRuns() int {
+	n := 0
+	for _, r := range w.runList {
+		if !r.spec().LongRunning {
+			n++
+		}
+	}
+	return n
+}
+
+// canEvictLongRunning reports whether the worker can lose all its long-running tasks at once without exceeding the
+// MaxUnavailable of their steps.
+func (w *worker) canEvictLongRunning() bool {
+	leaving := map[*step]int{}
+	for _, r := range w.runList {
+		if s := r.task.step; s.spec.MaxUnavailable > 0 {
+			leaving[s]++
+		}
+	}
+	for s, n := range leaving {
+		if s.countUnavailable()+n > s.spec.MaxUnavailable {
+			return false
+		}
+	}
+	return true
+}
+
+// markMachineLeaving cordons the worker and marks its runs, which then count as unavailable.
+func (w *worker) markMachineLeaving() {
+	w.cordoned = true
+	for _, r := range w.runList {
+		r.machineLeaving = true
+	}
+}
+
+func (w *worker) unmarkMachineLeaving() {
+	w.cordoned = false
+	for _, r := range w.runList {
+		r.machineLeaving = false
+	}
+}
