--- a/gate/intake/service.go
+++ b/gate/intake/service.go
@@ -34,6 +34,7 @@
 	ownerCallTimeout = 800 * time.Millisecond
 	// The inbox is used when the owner could not be reached for this long.
 	ownerRetryTime     = 900 * time.Millisecond
+	retryPause         = 60 * time.Millisecond
 	inboxAppendTimeout = 1200 * time.Millisecond
 	inboxHedgeDelay    = 250 * time.Millisecond
 	maxInboxAppends    = 3
@@ -174,7 +175,7 @@
 		klog.V(1).InfoS("job-refused", "job", spec.ID, "why", "neither the owner nor the log can be reached")
 		return newRefusal(codes.JobStoreAway, unavailableRetryAfter)
 	}
-	for pauses := newRetryPauses(); time.Since(started) < ownerRetryTime && ctx.Err() == nil; {
+	for time.Since(started) < ownerRetryTime && ctx.Err() == nil {
 		a := s.callOwner(ctx, request{Kind: kindSubmit, Record: record, ID: spec.ID}, func(ctx context.Context) lead.Answer {
 			return s.localOwner.Submit(ctx, spec)
 		})
@@ -190,7 +191,7 @@
 		default:
 			return Reply{code: a.Code()}
 		}
-		timer.Sleep(ctx, pauses.after(a.Code()))
+		timer.Sleep(ctx, retryPause)
 	}
 	return s.appendToInbox(ctx, record, spec.ID, outcomeUnknown)
 }
@@ -234,13 +235,13 @@
 	ctx, cancel := context.WithDeadline(ctx, answerDeadline(c))
 	defer cancel()
 	started := time.Now()
-	for pauses := newRetryPauses(); time.Since(started) < ownerRetryTime && ctx.Err() == nil; {
+	for time.Since(started) < ownerRetryTime && ctx.Err() == nil {
 		a := s.callOwner(ctx, request{Kind: kindCancel, ID: id}, func(ctx context.Context) lead.Answer { return s.localOwner.Cancel(ctx, id) })
 		if a.Code() != codes.NotOwner && a.Code() != codes.JobUnsettled {
 			recordCall("cancel", a.Code(), c.Received)
 			return Reply{code: a.Code()}
 		}
-		timer.Sleep(ctx, pauses.after(a.Code()))
+		timer.Sleep(ctx, retryPause)
 	}
 	record, err := sched.Encode(sched.JobCancelled{ID: id})
 	if err != nil {
@@ -258,7 +259,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, answerDeadline(c))
 	defer cancel()
-	for pauses := newRetryPauses(); ctx.Err() == nil; {
+	for ctx.Err() == nil {
 		var a lead.Answer
 		if id == "" {
 			a = s.callOwner(ctx, request{Kind: kindPending, Queue: q.Name}, func(ctx context.Context) lead.Answer { return s.localOwner.Pending(ctx, q.Name) })
@@ -269,7 +270,7 @@
 			recordCall("state", a.Code(), c.Received)
 			return Reply{code: a.Code(), state: a.State(), pending: a.Count()}, id == ""
 		}
-		timer.Sleep(ctx, pauses.after(a.Code()))
+		timer.Sleep(ctx, retryPause)
 	}
 	recordCall("state", codes.NotOwner, c.Received)
 	return newRefusal(codes.NotOwner, defaultRetryAfter), id == ""
