--- a/core/sched/pool_load.go
+++ b/core/sched/pool_load.go
@@ -15,6 +15,9 @@
 	waiting     int
 	running     int
 	idleCores   float64
+	batchCores  float64
+	surplus     int
+	work        backlog
 	rate        float64
 }
 
@@ -39,6 +42,18 @@
 // IdleCores returns how many cores are free on schedulable workers.
 func (l PoolLoad) IdleCores() float64 { return l.idleCores }
 
+// BatchCores returns how many cores are held by attempts that end by themselves.
+func (l PoolLoad) BatchCores() float64 { return l.batchCores }
+
+// Surplus returns how many busy workers take no new tasks, so that their machines can move once their attempts have ended.
+func (l PoolLoad) Surplus() int { return l.surplus }
+
+// UrgentWork returns the core-seconds of unfinished work that can still meet its deadline.
+func (l PoolLoad) UrgentWork() float64 { return l.work.urgent }
+
+// LateWork returns the core-seconds of unfinished work that will miss its deadline or exceeds its team's share.
+func (l PoolLoad) LateWork() float64 { return l.work.late }
+
 // Rate returns how many core-seconds of work arrive per second.
 func (l PoolLoad) Rate() float64 { return l.rate }
 
@@ -57,6 +72,10 @@
 			continue
 		}
 		l.running += len(w.runs)
+		l.batchCores += w.batchCores()
+		if w.surplus {
+			l.surplus++
+		}
 		if w.isSchedulable(now) {
 			l.schedulable++
 			l.idleCores += w.free().Cores()
@@ -71,7 +90,7 @@
 	}
 	for name, d := range sc.demand {
 		if l, found := byName[name]; found {
-			l.machines, l.needed = d.machines, d.needed
+			l.machines, l.needed, l.work = d.machines, d.needed, d.backlog
 		}
 	}
 	loads := make([]PoolLoad, 0, len(byName))
--- a/core/sched/worker.go
+++ b/core/sched/worker.go
@@ -146,6 +146,17 @@
 	return n
 }
 
+// batchCores returns how many cores are held by runs on the worker that end by themselves.
+func (w *worker) batchCores() float64 {
+	sum := 0.0
+	for _, r := range w.runList {
+		if !r.spec().LongRunning {
+			sum += r.spec().Reservation().Cores()
+		}
+	}
+	return sum
+}
+
 // canEvictLongRunning reports whether the worker can lose all its long-running tasks at once without exceeding the
 // MaxUnavailable of their steps.
 func (w *worker) canEvictLongRunning() bool {
--- a/gate/lead/meters.go
+++ b/gate/lead/meters.go
@@ -55,7 +55,8 @@
 		for what, value := range map[string]float64{
 			"machines": float64(l.Machines()), "needed": float64(l.Needed()), "usable": float64(l.Schedulable()),
 			"waiting-tasks": float64(l.Waiting()), "running-attempts": float64(l.Running()), "idle-cores": l.IdleCores(),
-			"arriving-cores": l.Rate(),
+			"arriving-cores": l.Rate(), "batch-cores": l.BatchCores(), "surplus": float64(l.Surplus()),
+			"urgent-work": l.UrgentWork(), "late-work": l.LateWork(),
 		} {
 			setGauge(metricPoolGauge, fmt.Sprintf("{pool=%q,what=%q}", l.Pool(), what), value)
 		}
