--- a/core/sched/demand.go
+++ b/core/sched/demand.go
@@ -24,22 +24,21 @@
 	backlog
 }
 
-// backlog is the unfinished batch work, in core-seconds.
+// backlog is the unfinished batch work.
 type backlog struct {
-	urgent float64 // work that can still meet its deadline
-	late   float64 // work that will miss its deadline or exceeds its team's share
+	urgent workload // work that can still meet its deadline
+	late   workload // work that will miss its deadline or exceeds its team's share
 }
 
-func (b backlog) add(work float64, late bool) backlog {
+func (b *backlog) of(late bool) *workload {
 	if late {
-		b.late += work
-	} else {
-		b.urgent += work
+		return &b.late
 	}
-	return b
+	return &b.urgent
 }
 
-func (b backlog) total() float64 { return b.urgent + b.late }
+// allWithin returns the core-seconds that can be done within the given time, late work included.
+func (b *backlog) allWithin(d time.Duration) float64 { return b.urgent.within(d) + b.late.within(d) }
 
 // teamLoad is the part of a team's limit that its open jobs need, GPUs not counted.
 type teamLoad struct {
@@ -47,13 +46,6 @@
 	longRunningCores float64 // cores of long-running tasks
 }
 
-func (l teamLoad) add(j *job, late bool) teamLoad {
-	batch, longRunning := remainingWork(j, coresWithoutGPUs)
-	l.backlog = l.backlog.add(batch, late)
-	l.longRunningCores += longRunning
-	return l
-}
-
 func coresWithoutGPUs(r setup.Resources) float64 { return float64(r.CPU) / setup.MilliCoresPerCore }
 
 // measureDemand returns what each declared pool has and needs.
@@ -112,14 +104,18 @@
 // computeNeeds computes how many machines each pool needs.
 func (sc *Scheduler) computeNeeds(now time.Time, demand map[string]*poolDemand) {
 	longRunning, leastWorkers, starved := map[string]float64{}, map[string]int{}, map[string]bool{}
-	work, teams := map[string]backlog{}, map[string]teamLoad{}
+	work, teams := map[string]*backlog{}, map[string]*teamLoad{}
 	for j := range sc.openJobs {
-		pool := sc.currentPool(j)
-		batch, longRunningCores := remainingWork(j, setup.Resources.Cores)
+		pool, team := sc.currentPool(j), j.spec.Team
+		if work[pool] == nil {
+			work[pool] = &backlog{}
+		}
+		if teams[team] == nil {
+			teams[team] = &teamLoad{}
+		}
 		late := j.isLate(now)
-		work[pool] = work[pool].add(batch, late)
-		teams[j.spec.Team] = teams[j.spec.Team].add(j, late)
-		longRunning[pool] += longRunningCores
+		longRunning[pool] += addRemaining(work[pool].of(late), j, setup.Resources.Cores)
+		teams[team].longRunningCores += addRemaining(teams[team].of(late), j, coresWithoutGPUs)
 		leastWorkers[pool] = max(leastWorkers[pool], minWorkers(j))
 		starved[pool] = starved[pool] || hasStarvedLongRunning(now, j)
 	}
@@ -129,9 +125,13 @@
 			continue
 		}
 		forecast := sc.surges.forecastCores(now, name, float64(d.machines)*d.coresPerMachine)
-		d.backlog, d.longRunningCores = work[name], longRunning[name]
-		late := d.late / lateBacklogDrainTime.Seconds()
-		current := max(d.urgent/backlogDrainTime.Seconds(), sc.surges.trend(name).arrivalRate(now))
+		if work[name] != nil {
+			d.backlog = *work[name]
+		}
+		d.longRunningCores = longRunning[name]
+		late, lasting := d.late.usableCores(lateBacklogDrainTime), d.urgent.lastingCores()
+		forecast += lasting
+		current := max(d.urgent.usableCores(backlogDrainTime), lasting+sc.surges.trend(name).arrivalRate(now))
 		d.neededAtLeast = max(d.machinesFor(d.longRunningCores), leastWorkers[name])
 		d.neededNow = max(d.machinesFor(d.longRunningCores+current), d.neededAtLeast)
 		d.neededWithForecast = max(d.machinesFor(d.longRunningCores+max(current, forecast)), d.neededAtLeast)
@@ -167,11 +167,12 @@
 	return now.Add(criticalPath).After(deadline)
 }
 
-// remainingWork returns the core-seconds of a job's unfinished batch tasks, running ones counted half, and the cores of its
+// addRemaining adds the job's unfinished batch tasks to the workload, running ones as half done, and returns the cores of its
 // long-running tasks.
-func remainingWork(j *job, coresOf func(setup.Resources) float64) (batch, longRunning float64) {
+func addRemaining(l *workload, j *job, coresOf func(setup.Resources) float64) (longRunning float64) {
 	for _, r := range j.rounds {
-		for _, s := range r.steps {
+		ends := make([]time.Duration, len(r.steps))
+		for n, s := range r.steps {
 			if s.isDone() {
 				continue
 			}
@@ -180,10 +181,21 @@
 				longRunning += float64(s.spec.Count) * cores
 				continue
 			}
-			batch += (float64(s.waitingTasks) + float64(s.remainingTasks-s.waitingTasks)/2) * cores * s.spec.Estimate().Seconds()
+			wait := s.spec.waitFor(ends, n)
+			ends[n] = wait + s.remainingTime()
+			l.add(float64(s.waitingTasks)*cores, wait, s.spec.Estimate())
+			l.add(float64(s.remainingTasks-s.waitingTasks)*cores, wait, s.spec.Estimate()/2)
 		}
 	}
-	return batch, longRunning
+	return longRunning
+}
+
+// remainingTime returns the estimated time until the step's tasks are done once it is ready.
+func (s *step) remainingTime() time.Duration {
+	if s.waitingTasks == 0 {
+		return s.spec.Estimate() / 2
+	}
+	return s.spec.Estimate()
 }
 
 // hasStarvedLongRunning reports whether a long-running task of the job has waited for a worker for more than
--- a/core/sched/harness_test.go
+++ b/core/sched/harness_test.go
@@ -166,3 +166,10 @@
 func oneCoreStep(count int) StepSpec {
 	return StepSpec{Count: count, CPU: 1000, MemMB: 100, EstimateMs: 1000}
 }
+
+// secondsOfWork returns the workload of one-core tasks of a second each.
+func secondsOfWork(tasks float64) workload {
+	var l workload
+	l.add(tasks, 0, time.Second)
+	return l
+}
--- a/core/sched/intake.go
+++ b/core/sched/intake.go
@@ -60,8 +60,7 @@
 		sc.markEnded(j, now)
 	}
 	if j.isOpen() && !spec.OverShare && !spec.IsLongRunning() {
-		_, coreSeconds := spec.Work()
-		sc.surges.recordArrival(now, sc.currentPool(j), coreSeconds)
+		sc.surges.recordArrival(now, sc.currentPool(j), spec.nearWork())
 	}
 	return j
 }
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -78,11 +78,7 @@
 	longest := time.Duration(0)
 	for n := range j.spec.Steps {
 		spec := &j.spec.Steps[n]
-		for _, dependency := range spec.DependsOn {
-			if dependency < n {
-				ends[n] = max(ends[n], ends[dependency])
-			}
-		}
+		ends[n] = spec.waitFor(ends, n)
 		if include(n) {
 			ends[n] += spec.Estimate()
 		}
--- a/core/sched/load_patterns_test.go
+++ b/core/sched/load_patterns_test.go
@@ -65,7 +65,7 @@
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
-			sc.demand = map[string]*poolDemand{"pots": {backlog: backlog{s.urgent, s.late}, reachableCores: 100}}
+			sc.demand = map[string]*poolDemand{"pots": {backlog: backlog{secondsOfWork(s.urgent), secondsOfWork(s.late)}, reachableCores: 100}}
 			spec.OverShare = s.overShare
 			r, refused := sc.checkOverload(&spec)
 			assert.Equal(t, refused, s.refused)
@@ -347,7 +347,7 @@
 func TestStarvedSchedulerRefusesJobsByThroughput(t *testing.T) {
 	sc := New(Options{})
 	spec := JobSpec{ID: "a", Queue: "plans", Pool: "pots", Steps: []StepSpec{oneCoreStep(1)}, Slack: 1.6, TargetMs: 600}
-	sc.demand = map[string]*poolDemand{"pots": {backlog: backlog{urgent: 100}, reachableCores: 1000}, "desks": {backlog: backlog{urgent: 900}, reachableCores: 1000}}
+	sc.demand = map[string]*poolDemand{"pots": {backlog: backlog{urgent: secondsOfWork(100)}, reachableCores: 1000}, "desks": {backlog: backlog{urgent: secondsOfWork(900)}, reachableCores: 1000}}
 	sc.throughput.rate = 100
 	_, refused := sc.checkOverload(&spec)
 	assert.Assert(t, !refused, "the pools have room")
--- a/core/sched/overload.go
+++ b/core/sched/overload.go
@@ -65,22 +65,21 @@
 		return Refusal{}, false
 	}
 	if spec.OverShare {
-		r := Refusal{cause: shareExceeded, workAhead: demand.total(), workRate: demand.reachableCores}
+		r := Refusal{cause: shareExceeded, workAhead: demand.allWithin(planningHorizon), workRate: demand.reachableCores}
 		r.retryAfter = r.waitTime() + jitter
 		return r, r.waitTime() > maxOverShareWait
 	}
-	urgent := Refusal{cause: poolOverloaded, workAhead: demand.urgent, workRate: demand.reachableCores}
-	all := Refusal{cause: poolOverloaded, workAhead: demand.total(), workRate: demand.reachableCores}
+	maxOnTimeWait, maxUsefulWait := allowedWait(spec)
+	urgent := Refusal{cause: poolOverloaded, workAhead: demand.urgent.within(maxOnTimeWait), workRate: demand.reachableCores}
+	all := Refusal{cause: poolOverloaded, workAhead: demand.allWithin(maxUsefulWait), workRate: demand.reachableCores}
 	if sc.CallLatency() >= starvedLatency && sc.throughput.rate > 0 {
 		// The scheduler itself is the bottleneck of all pools together.
-		urgent = longerWait(urgent, Refusal{cause: schedulerOverloaded, workAhead: sc.urgentWork(), workRate: sc.throughput.rate})
+		urgent = longerWait(urgent, Refusal{cause: schedulerOverloaded, workAhead: sc.urgentWork(maxOnTimeWait), workRate: sc.throughput.rate})
 	}
-	if limit := sc.limitCores(spec.Team); limit > 0 {
-		teamBacklog := sc.teamLoads[spec.Team]
-		urgent = longerWait(urgent, Refusal{cause: teamLimitExceeded, workAhead: teamBacklog.urgent, workRate: limit})
-		all = longerWait(all, Refusal{cause: teamLimitExceeded, workAhead: teamBacklog.total(), workRate: limit})
+	if load, limit := sc.teamLoads[spec.Team], sc.limitCores(spec.Team); load != nil && limit > 0 {
+		urgent = longerWait(urgent, Refusal{cause: teamLimitExceeded, workAhead: load.urgent.within(maxOnTimeWait), workRate: limit})
+		all = longerWait(all, Refusal{cause: teamLimitExceeded, workAhead: load.allWithin(maxUsefulWait), workRate: limit})
 	}
-	maxOnTimeWait, maxUsefulWait := allowedWait(spec)
 	if urgent.waitTime() <= maxOnTimeWait || max(urgent.waitTime(), all.waitTime()) <= maxUsefulWait {
 		return Refusal{}, false
 	}
@@ -95,14 +94,18 @@
 	if !declared || t.Limit.CPU == 0 {
 		return 0
 	}
-	return max(minLimitCores, coresWithoutGPUs(t.Limit)-sc.teamLoads[team].longRunningCores)
+	longRunning := 0.0
+	if load := sc.teamLoads[team]; load != nil {
+		longRunning = load.longRunningCores
+	}
+	return max(minLimitCores, coresWithoutGPUs(t.Limit)-longRunning)
 }
 
-// urgentWork returns the core-seconds of work in all pools that can still meet its deadline.
-func (sc *Scheduler) urgentWork() float64 {
+// urgentWork returns the core-seconds of work in all pools that can still meet its deadline and can be done within the given time.
+func (sc *Scheduler) urgentWork(d time.Duration) float64 {
 	sum := 0.0
-	for _, d := range sc.demand {
-		sum += d.urgent
+	for _, p := range sc.demand {
+		sum += p.urgent.within(d)
 	}
 	return sum
 }
--- a/core/sched/pool_load.go
+++ b/core/sched/pool_load.go
@@ -49,10 +49,10 @@
 func (l PoolLoad) Surplus() int { return l.surplus }
 
 // UrgentWork returns the core-seconds of unfinished work that can still meet its deadline.
-func (l PoolLoad) UrgentWork() float64 { return l.work.urgent }
+func (l PoolLoad) UrgentWork() float64 { return l.work.urgent.total() }
 
 // LateWork returns the core-seconds of unfinished work that will miss its deadline or exceeds its team's share.
-func (l PoolLoad) LateWork() float64 { return l.work.late }
+func (l PoolLoad) LateWork() float64 { return l.work.late.total() }
 
 // Rate returns how many core-seconds of work arrive per second.
 func (l PoolLoad) Rate() float64 { return l.rate }
--- a/core/sched/pool_load_test.go
+++ b/core/sched/pool_load_test.go
@@ -12,7 +12,7 @@
 	b.submit("a", oneCoreStep(3), StepSpec{Count: 1, CPU: 1000, LongRunning: true})
 	b.answerStarts(AnswerOK)
 	b.sc.workers["w1"].surplus = true
-	b.sc.demand = map[string]*poolDemand{"pots": {backlog: backlog{urgent: 7, late: 5}}}
+	b.sc.demand = map[string]*poolDemand{"pots": {backlog: backlog{secondsOfWork(7), secondsOfWork(5)}}}
 	for _, l := range b.sc.PoolLoads(b.now) {
 		if l.Pool() != "pots" {
 			continue
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -54,7 +54,7 @@
 	throughput        throughputMeter
 	orderLimiter      orderLimiter
 	demand            map[string]*poolDemand
-	teamLoads         map[string]teamLoad
+	teamLoads         map[string]*teamLoad
 
 	// Output that has not been taken yet.
 	batch              Batch
--- a/core/sched/spec.go
+++ b/core/sched/spec.go
@@ -74,6 +74,19 @@
 	return tasks, coreSeconds
 }
 
+// nearWork returns the core-seconds of a round of the job that can be done within planningHorizon of its start.
+func (s *JobSpec) nearWork() float64 {
+	var l workload
+	ends := make([]time.Duration, len(s.Steps))
+	for n := range s.Steps {
+		step := &s.Steps[n]
+		wait := step.waitFor(ends, n)
+		ends[n] = wait + step.Estimate()
+		l.add(float64(step.Count)*step.QuotaUsage().Cores(), wait, step.Estimate())
+	}
+	return l.within(planningHorizon)
+}
+
 // StepSpec is one step of a job: Count like tasks. It is stored as a CBOR array, so the order of the fields must not change.
 type StepSpec struct {
 	_              struct{} `cbor:",toarray"`
@@ -114,6 +127,17 @@
 // Estimate returns the rough run time of a task.
 func (s *StepSpec) Estimate() time.Duration { return time.Duration(s.EstimateMs) * time.Millisecond }
 
+// waitFor returns when step n can start, given when the steps before it end.
+func (s *StepSpec) waitFor(ends []time.Duration, n int) time.Duration {
+	wait := time.Duration(0)
+	for _, dependency := range s.DependsOn {
+		if dependency >= 0 && dependency < n {
+			wait = max(wait, ends[dependency])
+		}
+	}
+	return wait
+}
+
 // IsServing reports whether the tasks serve requests under a latency target.
 func (s *StepSpec) IsServing() bool { return s.TargetMs > 0 }
 
