--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -243,3 +243,11 @@
 }
 
 func (r *run) spec() (spec *StepSpec) { return r.task.step.spec }
+
+// expectedEnd returns when the run should end by its estimate; a run that has not been confirmed counts as starting now.
+func (r *run) expectedEnd(now time.Time) time.Time {
+	if r.phase == runConfirmed {
+		now = r.startedAt
+	}
+	return now.Add(r.spec().Estimate())
+}
--- a/core/sched/long_tasks_test.go
+++ b/core/sched/long_tasks_test.go
@@ -84,3 +84,27 @@
 	b.runFor(time.Second)
 	assert.Equal(t, submit("short", oneCoreStep(8)), Accepted)
 }
+
+// Long tasks fill one pool while the surge of another begins. Guards against jobs that are accepted for machines which only become
+// free much later, and then wait until they are useless (hlt-sched, long tasks of hold-request, seed 13).
+func TestMachinesBoundByLongTasksAreNotReachable(t *testing.T) {
+	b := submitLongTasks(t, 80)
+	accepted := 0
+	for i := range 60 {
+		result, _ := b.sc.Submit(b.now, JobSpec{
+			ID: fmt.Sprint(i), Queue: "quotes", Pool: "desks", Steps: []StepSpec{oneCoreStep(2)}, Slack: 1.6, TargetMs: 600,
+			FirstReceivedMs: b.now.UnixMilli(),
+		})
+		if result == Accepted {
+			accepted += 2
+		}
+		b.runFor(100 * time.Millisecond)
+	}
+	const (
+		cores         = 4
+		seconds       = 6
+		maxUsefulWait = 5.6
+	)
+	assert.Assert(t, float64(accepted) <= cores*(seconds+maxUsefulWait), "%d core-seconds accepted for %d cores", accepted, cores)
+	assert.Assert(t, accepted >= cores*seconds/2, "%d core-seconds accepted for %d cores", accepted, cores)
+}
--- a/core/sched/moves.go
+++ b/core/sched/moves.go
@@ -79,9 +79,7 @@
 	anyPoolShort := rationMachines(demand)
 	sc.markSurplusWorkers(standby, demand, anyPoolShort)
 	donors := sc.donorMachines(now, standby, byMachine, demand)
-	for _, d := range demand {
-		d.reachableCores = d.batchCores(max(d.machines+len(donors), d.needed))
-	}
+	sc.updateReachable(now, demand, len(donors))
 	for _, d := range sortByShortage(demand) {
 		for d.machines < d.needed && len(donors) > 0 && sc.orderLimiter.isAllowed(sc.options.MachineOrderRate, false) {
 			m := donors[0]
@@ -101,6 +99,31 @@
 	}
 }
 
+// updateReachable computes the cores that each pool has or can get soon: those of the donors, and those of machines that other
+// pools don't need and whose runs end soon.
+func (sc *Scheduler) updateReachable(now time.Time, demand map[string]*poolDemand, donors int) {
+	freeSoon, total := map[string]int{}, 0
+	for name, d := range demand {
+		freeSoon[name] = max(0, min(d.machines-d.needed-len(d.idleWorkers), sc.countFreeSoon(now, name)))
+		total += freeSoon[name]
+	}
+	for name, d := range demand {
+		obtainable := d.machines + donors
+		d.reachableCores = d.batchCores(max(obtainable, min(d.needed, obtainable+total-freeSoon[name])))
+	}
+}
+
+// countFreeSoon returns how many of the pool's busy workers become idle within planningHorizon if they get no new tasks.
+func (sc *Scheduler) countFreeSoon(now time.Time, pool string) int {
+	n := 0
+	for _, w := range sc.freeableWorkers(pool) {
+		if w.isFreeBy(now, now.Add(planningHorizon)) {
+			n++
+		}
+	}
+	return n
+}
+
 func (sc *Scheduler) standbyPool() string {
 	for _, name := range sc.cfg.Pools() {
 		if p, _ := sc.cfg.Pool(name); p.Standby {
--- a/core/sched/preempt.go
+++ b/core/sched/preempt.go
@@ -132,6 +132,6 @@
 // long-running nor part of a gang, and does not end soon.
 func (r *run) isPreemptible(now time.Time) bool {
 	spec := r.spec()
-	endsIn := spec.Estimate() - now.Sub(r.startedAt)
+	endsIn := r.expectedEnd(now).Sub(now)
 	return r.phase == runConfirmed && !spec.LongRunning && !spec.Gang && endsIn > minPreemptRemaining && spec.Reservation() != setup.Resources{}
 }
--- a/core/sched/worker.go
+++ b/core/sched/worker.go
@@ -157,6 +157,16 @@
 	return sum
 }
 
+// isFreeBy reports whether all runs on the worker are expected to have ended by then.
+func (w *worker) isFreeBy(now, deadline time.Time) bool {
+	for _, r := range w.runList {
+		if r.spec().LongRunning || r.expectedEnd(now).After(deadline) {
+			return false
+		}
+	}
+	return true
+}
+
 // canEvictLongRunning reports whether the worker can lose all its long-running tasks at once without exceeding the
 // MaxUnavailable of their steps.
 func (w *worker) canEvictLongRunning() bool {
