--- a/core/sched/apply_result.go
+++ b/core/sched/apply_result.go
@@ -7,6 +7,8 @@
 	noRoomBackoff = 150 * time.Millisecond
 	// Pause before the next order to a worker that refused a start because of its own state, or to a machine that refused one.
 	refusalBackoff = time.Second
+	// A call that fails after less than this has not timed out.
+	callTimeout = 400 * time.Millisecond
 	// Start orders without an answer are repeated this often before the attempt is stopped.
 	maxStartRetries = 2
 	// Time between two polls of a worker that does not answer.
--- a/core/sched/codec.go
+++ b/core/sched/codec.go
@@ -26,6 +26,7 @@
 	tagSurgeSeen
 	tagMaintenanceOrdered
 	tagTasksSnapshot
+	tagTaskCrashes
 )
 
 var decoders = map[recordTag]func(body []byte) (Record, error){
@@ -42,6 +43,7 @@
 	tagSurgeSeen:          decodeAs[SurgeSeen],
 	tagMaintenanceOrdered: decodeAs[MaintenanceOrdered],
 	tagTasksSnapshot:      decodeAs[TasksSnapshot],
+	tagTaskCrashes:        decodeAs[TaskCrashes],
 }
 
 // Encode returns the binary form of the record: codec version, tag and CBOR body.
--- a/core/sched/counters.go
+++ b/core/sched/counters.go
@@ -4,7 +4,7 @@
 type Counters struct {
 	started       uint64
 	refusedStarts uint64
-	ended         [AttemptLost + 1]uint64
+	ended         [AttemptOrphaned + 1]uint64
 }
 
 // Started returns the number of attempts that were ordered.
--- /dev/null
+++ b/core/sched/crash.go
@@ -0,0 +1,150 @@
+package sched
+
+import (
+	"strconv"
+	"time"
+)
+
+const (
+	// A run that had been confirmed for this long when its worker fell silent is not taken for the cause.
+	crashSuspectAge = 100 * time.Millisecond
+	// A task is given up after this many workers have crashed under it, if it was the only possible cause at least once.
+	maxCrashes = 2
+	// The same for a task that mostly ran beside others that were the cause more likely.
+	maxLostWorkers = 3
+	// A task is given up after it was a possible cause this often, even if there were others each time.
+	maxSuspicions = 4
+)
+
+// crashHistory counts the workers that crashed while they ran a task.
+type crashHistory struct {
+	proven    int // no other attempt can be the cause
+	suspected int // other attempts may be the cause as well
+	orphaned  int // another attempt, or none, was the cause more likely
+	doubtful  int // it is not known whether the attempt had started
+}
+
+// add counts the end of an attempt, and reports whether its worker had crashed.
+func (c *crashHistory) add(outcome AttemptOutcome) bool {
+	switch outcome {
+	case AttemptCrashed:
+		c.proven++
+	case AttemptSuspected:
+		c.suspected++
+	case AttemptOrphaned:
+		c.orphaned++
+	case AttemptDoubtful:
+		c.doubtful++
+	default:
+		return false
+	}
+	return true
+}
+
+// isSuspect reports whether the task may crash the next worker too.
+func (c crashHistory) isSuspect() bool {
+	return c.proven+c.suspected+c.doubtful > 0 || c.orphaned >= maxLostWorkers-1
+}
+
+// isExhausted reports whether a task with this history must not be started again. A long-running job serves its users with its other
+// tasks, so that more proof is needed to end it.
+func (c crashHistory) isExhausted(longRunning bool) bool {
+	if longRunning {
+		return c.proven >= maxCrashes
+	}
+	blamed := c.proven + c.suspected
+	if blamed+c.doubtful >= maxSuspicions {
+		return true
+	}
+	return c.proven > 0 && (blamed >= maxCrashes || blamed+c.orphaned >= maxLostWorkers)
+}
+
+// setCrashes sets the task's history, and counts the suspects of its step.
+func (t *task) setCrashes(c crashHistory) {
+	if !t.crashes.isSuspect() && c.isSuspect() {
+		t.step.suspects++
+	}
+	t.crashes = c
+}
+
+// crashWorker ends all attempts on a worker that has ended without an order of this scheduler. The cause is one of the attempts,
+// or lies outside.
+func (sc *Scheduler) crashWorker(now time.Time, w *worker, reason string) {
+	if w.entry.Draining || w.cordoned {
+		sc.removeWorker(now, w, reason)
+		return
+	}
+	sc.recordCrash(now, w)
+	sc.removeWorker(now, w, reason)
+}
+
+// recordCrash marks the runs of a crashed worker with how they end.
+func (sc *Scheduler) recordCrash(now time.Time, w *worker) {
+	young, suspects := w.crashSuspects()
+	for _, r := range w.runList {
+		r.crashOutcome = AttemptOrphaned
+	}
+	for _, r := range suspects {
+		switch {
+		case r.phase != runConfirmed:
+			r.crashOutcome = AttemptDoubtful
+		case len(young) > 1:
+			r.crashOutcome = AttemptSuspected
+		default:
+			r.crashOutcome = AttemptCrashed
+		}
+	}
+	if len(suspects) > 0 {
+		sc.ensurePool(w.entry.Pool).recordCrash(now)
+		sc.logDecision(now, "worker-crashed", suspects[0].task.id().String(), w.id, strconv.Itoa(len(suspects))+" of "+strconv.Itoa(len(w.runList))+" attempts may be the cause")
+	}
+}
+
+// crashSuspects returns the runs that started just before the worker fell silent, and those among them that are the cause most likely:
+// suspects of an earlier crash if there are any.
+func (w *worker) crashSuspects() (young, suspects []*run) {
+	for _, r := range w.runList {
+		if !r.wasYoungAtSilence() {
+			continue
+		}
+		young = append(young, r)
+		if r.task.crashes.isSuspect() {
+			suspects = append(suspects, r)
+		}
+	}
+	if len(suspects) == 0 {
+		return young, young
+	}
+	return young, suspects
+}
+
+// wasYoungAtSilence reports whether the run started just before its worker fell silent, as far as this owner knows. A suspect counts
+// as young while it is on probation.
+func (r *run) wasYoungAtSilence() bool {
+	age := crashSuspectAge
+	if r.worker.suspect == r {
+		age = probationTime
+	}
+	switch {
+	case r.phase != runConfirmed:
+		return true
+	case r.inherited:
+		// It has outlived the change of owner.
+		return false
+	default:
+		return r.worker.silentSince.Sub(r.startedAt) < age
+	}
+}
+
+// isDoubtful reports whether the run may have crashed its worker, which answers no more.
+func (r *run) isDoubtful() bool {
+	return (r.worker.unanswered > 0 || !r.worker.verified) && r.wasYoungAtSilence()
+}
+
+// outcomeOfLost returns the outcome of an attempt whose worker is gone.
+func (r *run) outcomeOfLost(outcome AttemptOutcome) AttemptOutcome {
+	if r.crashOutcome != AttemptDone {
+		return r.crashOutcome
+	}
+	return outcome
+}
--- /dev/null
+++ b/core/sched/crash_test.go
@@ -0,0 +1,134 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// maxStartsOfADeadlyTask is the bound of the users: a task is not started three times more after three workers have crashed under it.
+const maxStartsOfADeadlyTask = 5
+
+func isTaskOf(job string) func(TaskID) bool {
+	return func(id TaskID) bool { return id.Job == job }
+}
+
+// Guards against a task that crashes worker after worker (BUDGET, the day deadly, seed 1: one task was started 54 times).
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	scenarios := []struct {
+		testName  string
+		step      StepSpec
+		takeOvers bool
+		snapshots bool
+	}{
+		{"runs once", oneCoreStep(1), false, false},
+		{"may be copied", speculativeStep(1), false, false},
+		{"with others of its job", oneCoreStep(6), false, false},
+		{"lasting", longRunningStep(1, 0), false, false},
+		{"under changing owners", oneCoreStep(1), true, false},
+		{"under changing owners with snapshots", oneCoreStep(1), true, true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			f := newCrashFleet(t, 8, func(id TaskID) bool { return id.Job == "deadly" && id.Index == 0 })
+			f.takesOver, f.snapshots = s.takeOvers, s.snapshots
+			f.submit("deadly", s.step)
+			f.runUntil(60*time.Second, func() bool { return len(f.sc.openJobs) == 0 })
+			assert.Equal(t, f.takeOvers > 0, s.takeOvers)
+			assert.Equal(t, f.state("deadly"), "failed")
+			n := f.starts[TaskID{Job: "deadly"}]
+			assert.Assert(t, n >= 2 && n <= maxStartsOfADeadlyTask, "%d starts", n)
+		})
+	}
+}
+
+// Tasks share a worker with one that crashes it. Guards against giving up those that are no cause of the crashes.
+func TestTasksBesideOneThatCrashesItsWorkersAreDone(t *testing.T) {
+	f := newCrashFleet(t, 4, isTaskOf("deadly"))
+	f.submit("deadly", oneCoreStep(1))
+	for i := range 3 {
+		f.submit(fmt.Sprintf("beside%d", i), oneCoreStep(1))
+	}
+	f.runUntil(20*time.Second, func() bool { return f.state("deadly") == "failed" && len(f.sc.openJobs) == 0 })
+	assert.Equal(t, f.state("deadly"), "failed")
+	for i := range 3 {
+		assert.Equal(t, f.state(fmt.Sprintf("beside%d", i)), "completed")
+	}
+}
+
+// Two tasks that crash their workers are started together. Guards against restarting all suspects of a crash on one worker, where
+// they take others along again.
+func TestSuspectsOfACrashRunAlone(t *testing.T) {
+	f := newCrashFleet(t, 6, func(id TaskID) bool { return id.Job == "deadly" })
+	f.submit("deadly", oneCoreStep(2))
+	f.submit("beside", oneCoreStep(2))
+	f.runUntil(20*time.Second, func() bool { return len(f.sc.openJobs) == 0 })
+	assert.Equal(t, f.state("deadly"), "failed")
+	assert.Equal(t, f.state("beside"), "completed")
+	for i := range 2 {
+		n := f.crashes[TaskID{Job: "beside", Index: i}]
+		assert.Assert(t, n <= 1, "%d workers crashed under a task that is no cause", n)
+	}
+}
+
+// Workers go for causes of their own. Guards against blaming the tasks that they ran.
+func TestWorkersThatGoForOtherCausesBlameNoTask(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		lose     func(f *crashFleet, worker string)
+	}{
+		{"killed long after the start", func(f *crashFleet, worker string) { f.crash(worker) }},
+		{"taken down by an order", func(f *crashFleet, worker string) {
+			f.sc.workers[worker].markMachineLeaving()
+			f.crash(worker)
+		}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			f := newCrashFleet(t, 6, func(TaskID) bool { return false })
+			f.submit("a", oneCoreStep(2))
+			id := TaskID{Job: "a"}
+			for round := range 4 {
+				f.runUntil(20*time.Second, func() bool { return f.starts[id] > round })
+				f.runUntil(600*time.Millisecond, func() bool { return false })
+				for worker, runs := range f.runs {
+					if runs[runKey{id, f.sc.jobs["a"].taskByID(id).attempts}] != (time.Time{}) {
+						s.lose(f, worker)
+					}
+				}
+			}
+			f.runUntil(20*time.Second, func() bool { return len(f.sc.openJobs) == 0 })
+			assert.Equal(t, f.state("a"), "completed")
+		})
+	}
+}
+
+// Many tasks of a queue crash their workers while others of it run. Guards against a pool that they hold down (RECOVER, the day
+// deadly-then-kill, seed 1096).
+func TestBurstOfDeadlyTasksDoesNotHoldAPoolDown(t *testing.T) {
+	const workers = 20
+	f := newCrashFleet(t, workers, func(id TaskID) bool { return id.Job[0] == 'x' && id.Index == 0 })
+	for i := range 40 {
+		name := fmt.Sprintf("a%d", i)
+		if i%4 == 0 {
+			name = fmt.Sprintf("x%d", i)
+		}
+		_, _ = f.sc.Submit(f.now, JobSpec{
+			ID: name, Queue: "plans", Pool: "pots", Team: "floor", Steps: []StepSpec{oneCoreStep(3)}, MaxAttempts: 2, Slack: 1.6, TargetMs: 600,
+			FirstReceivedMs: f.now.UnixMilli(),
+		})
+		f.runUntil(200*time.Millisecond, func() bool { return false })
+	}
+	f.runUntil(20*time.Second, func() bool { return len(f.sc.openJobs) == 0 })
+	assert.Equal(t, len(f.sc.openJobs), 0)
+	for id, j := range f.sc.jobs {
+		expected := StateCompleted
+		if id[0] == 'x' {
+			expected = StateFailed
+		}
+		assert.Equal(t, j.finalState, expected, "job %s", id)
+	}
+	assert.Assert(t, f.mostDown <= workers/2, "%d of %d workers are down at a time", f.mostDown, workers)
+}
--- a/core/sched/demand.go
+++ b/core/sched/demand.go
@@ -135,7 +135,7 @@
 		d.neededAtLeast = max(d.machinesFor(d.longRunningCores), leastWorkers[name])
 		d.neededNow = max(d.machinesFor(d.longRunningCores+current), d.neededAtLeast)
 		d.neededWithForecast = max(d.machinesFor(d.longRunningCores+max(current, forecast)), d.neededAtLeast)
-		d.needed = max(d.machinesFor(d.longRunningCores+max(current, forecast)+late), d.neededAtLeast)
+		d.needed = max(d.machinesFor(d.longRunningCores+max(current, forecast)+late), d.neededAtLeast) + sc.machinesForSuspects(name)
 		if starved[name] && d.arriving == 0 {
 			d.neededNow = max(d.neededNow, d.machines+1)
 			d.neededWithForecast = max(d.neededWithForecast, d.neededNow)
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -112,6 +112,7 @@
 	nextAdviceAt   time.Time         // no RequestAdvice before this time
 	runsByWorker   map[string]int    // attempts by worker id
 	durations      durationStats
+	suspects       int // tasks that have been suspected of a crash
 }
 
 // ticket is the policy service's permission for one incarnation of a worker to run a step.
@@ -160,6 +161,7 @@
 	done        bool
 	attempts    int // number of the last attempt
 	failures    int
+	crashes     crashHistory
 	checkpoint  string // last saved progress
 	runs        []*run
 	lastEndedAt time.Time // when the last attempt ended
@@ -226,6 +228,7 @@
 	worker            *worker
 	phase             runPhase
 	retries           int       // repeated start orders
+	inherited         bool      // an earlier owner started it, and this one has found it running
 	startPending      bool      // the start order has not been answered yet
 	startedAt         time.Time // when the start was confirmed
 	absenceValidAfter time.Time // a poll sent after this that doesn't list the run proves that the worker doesn't have it
@@ -239,7 +242,8 @@
 	reportedLoad      int // ActiveRun.Load, -1 if unknown
 	requestedSpeed    int // in percent
 	throttlePending   bool
-	overTargetSince   time.Time // since when a serving task's latency exceeds its target, zero if it doesn't
+	overTargetSince   time.Time      // since when a serving task's latency exceeds its target, zero if it doesn't
+	crashOutcome      AttemptOutcome // how it ends if its worker has crashed, AttemptDone if the worker has not
 }
 
 func (r *run) spec() (spec *StepSpec) { return r.task.step.spec }
--- a/core/sched/lifecycle.go
+++ b/core/sched/lifecycle.go
@@ -126,6 +126,9 @@
 	}
 	s.runsByWorker[w.id]++
 	w.addRun(r)
+	if t.isSuspect() {
+		w.suspect = r
+	}
 	team := sc.ensureTeam(t.job().spec.Team)
 	team.used = team.used.Add(s.spec.QuotaUsage())
 	sc.ensurePool(sc.currentPool(t.job())).runningCores[team.name] += s.spec.QuotaUsage().Cores()
@@ -163,11 +166,25 @@
 		if t.failures >= max(1, j.spec.MaxAttempts) && !j.finalState.IsFinal() && !j.cancelled {
 			sc.endJob(j, StateFailed, now)
 		}
+	default:
+		sc.countCrash(t, ended.Outcome, now)
 	}
 	sc.updateWaiting(t.step)
 	sc.markPoolDirty(sc.currentPool(j))
 }
 
+// countCrash counts a worker that crashed under the task, if it ended that way, and ends the job if the task must not be started again.
+func (sc *Scheduler) countCrash(t *task, outcome AttemptOutcome, now time.Time) {
+	crashes := t.crashes
+	if !crashes.add(outcome) {
+		return
+	}
+	t.setCrashes(crashes)
+	if j := t.job(); t.crashes.isExhausted(t.step.spec.LongRunning) && j.isOpen() {
+		sc.endJob(j, StateFailed, now)
+	}
+}
+
 // shareCheckpoint copies the checkpoint of a gang's task to the other tasks of the gang.
 func (sc *Scheduler) shareCheckpoint(t *task) {
 	if !t.step.spec.Gang {
--- a/core/sched/machine_workers.go
+++ b/core/sched/machine_workers.go
@@ -19,7 +19,7 @@
 		listedLongEnough := requestedAt.Sub(w.listedAt) > machineListLag
 		if w.unanswered >= silentThreshold && w.id != e.Worker && listedLongEnough {
 			sc.replacedWorkers[w.id] = w.incarnation
-			sc.removeWorker(now, w, "its machine no longer runs it")
+			sc.crashWorker(now, w, "its machine no longer runs it")
 		}
 	}
 }
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -67,7 +67,7 @@
 		}
 		w := sc.pickWorker(now, t, pass)
 		if w == nil {
-			if t.failures > 0 {
+			if t.failures > 0 || t.isSuspect() {
 				continue
 			}
 			return started
--- a/core/sched/placement_pass.go
+++ b/core/sched/placement_pass.go
@@ -10,8 +10,12 @@
 // placementPass is one pass over a pool's waiting tasks. No run ends during a pass, so a size that fits on no worker once
 // does not fit until the pass is over.
 type placementPass struct {
-	workers  []*worker
-	tooLarge []setup.Resources // sizes that fit on no worker; none is at least as large as another in all resources
+	pool       *pool
+	workers    []*worker
+	tooLarge   []setup.Resources // sizes that fit on no worker; none is at least as large as another in all resources
+	isCrashing bool              // workers of the pool have crashed lately
+	slots      int               // suspects of crashes that may still start, valid if slotsKnown
+	slotsKnown bool
 }
 
 // isTooLarge reports whether the size is already known to fit on no worker.
@@ -28,7 +32,7 @@
 // newPass returns a pass with the pool's schedulable workers that have room for the smallest waiting tasks.
 func (sc *Scheduler) newPass(p *pool, now time.Time) *placementPass {
 	smallest := p.minNeeds()
-	pass := &placementPass{}
+	pass := &placementPass{pool: p, isCrashing: p.isCrashing(now)}
 	for _, w := range sc.workersByID {
 		if w.entry.Pool == p.name && smallest.FitsWithin(w.free()) && w.isSchedulable(now) {
 			pass.workers = append(pass.workers, w)
@@ -55,7 +59,8 @@
 // pickWorker returns the best worker for a task, nil if none is eligible and has room.
 func (sc *Scheduler) pickWorker(now time.Time, t *task, pass *placementPass) *worker {
 	needs := t.step.spec.Reservation()
-	if pass.isTooLarge(needs) {
+	isSuspect := t.isSuspect()
+	if pass.isTooLarge(needs) || isSuspect && sc.probationSlotsLeft(now, pass) <= 0 {
 		return nil
 	}
 	var best *worker
@@ -65,12 +70,26 @@
 			continue
 		}
 		fits = true
-		if sc.isEligible(now, t, w) && (best == nil || sc.isBetterWorker(t, w, best)) {
+		if !w.mayStart(now, isSuspect, pass.isCrashing) || !sc.isEligible(now, t, w) {
+			continue
+		}
+		if best == nil || isSuspect && compareForSuspect(w, best) < 0 || !isSuspect && sc.isBetterWorker(t, w, best) {
 			best = w
 		}
 	}
 	if !fits {
 		pass.markTooLarge(needs)
 	}
+	if best != nil && isSuspect {
+		pass.slots--
+	}
 	return best
 }
+
+// probationSlotsLeft returns how many more suspects may start in this pass.
+func (sc *Scheduler) probationSlotsLeft(now time.Time, pass *placementPass) int {
+	if !pass.slotsKnown {
+		pass.slots, pass.slotsKnown = sc.probationSlots(now, pass.pool), true
+	}
+	return pass.slots
+}
--- a/core/sched/polls.go
+++ b/core/sched/polls.go
@@ -24,20 +24,21 @@
 	case AnswerWrongIncarnation:
 		if w.answeredAddress != "" && w.answeredAddress != w.entry.Address {
 			// The worker answered elsewhere, so this tells more of the entry than of the worker.
-			sc.recordUnanswered(now, w, res.Answer)
+			sc.recordUnanswered(now, w, res)
 			return
 		}
-		sc.removeWorker(now, w, "another worker answers at its address")
+		sc.crashWorker(now, w, "another worker answers at its address")
 	default:
-		sc.recordUnanswered(now, w, res.Answer)
+		sc.recordUnanswered(now, w, res)
 	}
 }
 
-func (sc *Scheduler) recordUnanswered(now time.Time, w *worker, answer OrderAnswer) {
+func (sc *Scheduler) recordUnanswered(now time.Time, w *worker, res PollResult) {
+	w.markUnanswered(now, now.Sub(res.SentAt) >= res.Order.MaxWait+callTimeout)
 	w.unanswered++
 	w.nextPollAt = now.Add(silentPollInterval)
 	if w.unanswered == silentThreshold {
-		sc.logDecision(now, "worker-silent", "", w.id, answer.String())
+		sc.logDecision(now, "worker-silent", "", w.id, res.Answer.String())
 	}
 }
 
@@ -55,7 +56,7 @@
 	if !w.verified || w.unanswered > 0 {
 		sc.markPoolDirty(w.entry.Pool)
 	}
-	w.unanswered, w.lastAnswerAt = 0, now
+	w.unanswered, w.lastAnswerAt, w.lastAliveAt = 0, now, now
 	if res.SentAt.After(w.addressSince) {
 		w.answeredAddress = w.entry.Address
 	}
@@ -131,7 +132,7 @@
 		sc.orderImmediately(StopTask{Worker: w.id, Task: a.Task, Attempt: a.Attempt})
 		return
 	}
-	r.firstMissing = time.Time{}
+	r.firstMissing, r.crashOutcome = time.Time{}, AttemptDone
 	if r.phase != runConfirmed {
 		sc.confirmStart(now, r)
 	}
@@ -182,6 +183,8 @@
 // answer tells which runs the new incarnation has.
 func (sc *Scheduler) applyRestart(now time.Time, w *worker, incarnation int64) {
 	sc.logDecision(now, "worker-reborn", "", w.id, "")
+	w.markUnanswered(now, true)
+	sc.recordCrash(now, w)
 	w.lastEndSeen, w.lastEndStored, w.faults = 0, 0, 0
 	w.incarnation = incarnation
 	for _, r := range w.runList {
--- a/core/sched/pool_load.go
+++ b/core/sched/pool_load.go
@@ -17,6 +17,7 @@
 	idleCores   float64
 	batchCores  float64
 	surplus     int
+	suspects    int
 	work        backlog
 	rate        float64
 }
@@ -48,6 +49,9 @@
 // Surplus returns how many busy workers take no new tasks, so that their machines can move once their attempts have ended.
 func (l PoolLoad) Surplus() int { return l.surplus }
 
+// Suspects returns how many waiting tasks may have crashed a worker.
+func (l PoolLoad) Suspects() int { return l.suspects }
+
 // UrgentWork returns the core-seconds of unfinished work that can still meet its deadline.
 func (l PoolLoad) UrgentWork() float64 { return l.work.urgent.total() }
 
@@ -83,6 +87,7 @@
 	}
 	for _, p := range sc.poolOrder {
 		if l, found := byName[p.name]; found {
+			l.suspects = p.waitingSuspects()
 			for s := range p.waitingSteps {
 				l.waiting += s.waitingTasks
 			}
--- a/core/sched/record.go
+++ b/core/sched/record.go
@@ -1,7 +1,7 @@
 package sched
 
 // Record is an entry of the journal: JobAccepted, JobCancelled, TaskStarted, TaskEnded, InboxAdvanced, WaveSeen,
-// MaintenanceOrdered, MaintenanceDone, SurgeSeen, SnapshotStarted, JobSnapshot, TasksSnapshot or SnapshotEnded. Records are stored as CBOR
+// MaintenanceOrdered, MaintenanceDone, SurgeSeen, SnapshotStarted, JobSnapshot, TasksSnapshot, TaskCrashes or SnapshotEnded. Records are stored as CBOR
 // arrays, so the order and the types of their fields must not change.
 type Record interface {
 	tag() recordTag
@@ -117,6 +117,16 @@
 	Incarnation int64
 }
 
+// TaskCrashes is the part of a snapshot that holds how many workers have crashed under a task of a job whose JobSnapshot precedes it.
+type TaskCrashes struct {
+	_         struct{} `cbor:",toarray"`
+	Task      TaskID
+	Proven    int
+	Suspected int
+	Orphaned  int
+	Doubtful  int
+}
+
 // SnapshotEnded completes a snapshot.
 type SnapshotEnded struct {
 	_    struct{} `cbor:",toarray"`
@@ -135,4 +145,5 @@
 func (SnapshotStarted) tag() recordTag    { return tagSnapshotStarted }
 func (JobSnapshot) tag() recordTag        { return tagJobSnapshot }
 func (TasksSnapshot) tag() recordTag      { return tagTasksSnapshot }
+func (TaskCrashes) tag() recordTag        { return tagTaskCrashes }
 func (SnapshotEnded) tag() recordTag      { return tagSnapshotEnded }
--- a/core/sched/replay.go
+++ b/core/sched/replay.go
@@ -38,6 +38,12 @@
 		}
 		sc.snapshot.add(r)
 		return nil
+	case TaskCrashes:
+		if !sc.snapshot.started {
+			return eris.Errorf("crashes under task %s are saved outside of a snapshot", r.Task)
+		}
+		sc.snapshot.add(r)
+		return nil
 	case SnapshotEnded:
 		return sc.replaySnapshot(r)
 	case JobAccepted, TaskStarted, TaskEnded, InboxAdvanced:
@@ -82,6 +88,8 @@
 		sc.restoreJob(r)
 	case TasksSnapshot:
 		return sc.restoreTasks(r)
+	case TaskCrashes:
+		sc.restoreCrashes(r)
 	case WaveSeen:
 		sc.applyWaveSeen(r)
 	case MaintenanceOrdered:
--- a/core/sched/run_end.go
+++ b/core/sched/run_end.go
@@ -7,6 +7,9 @@
 
 // endRun records the end of an attempt, and stops attempts that are no longer needed because of it.
 func (sc *Scheduler) endRun(now time.Time, r *run, outcome AttemptOutcome, checkpoint string) {
+	if outcome == AttemptLost || outcome == AttemptLeaseExpired {
+		outcome = r.outcomeOfLost(outcome)
+	}
 	record := TaskEnded{Task: r.task.id(), Attempt: r.number, Outcome: outcome, Checkpoint: checkpoint}
 	sc.appendRecord(record)
 	sc.counters.ended[outcome]++
@@ -18,6 +21,9 @@
 	if r.task.done {
 		sc.stopOtherRuns(now, r.task)
 	}
+	if r.task.crashes.isExhausted(r.spec().LongRunning) {
+		sc.logDecision(now, "task-given-up", r.task.id().String(), r.worker.id, "workers crash under it")
+	}
 	if j := r.task.job(); j.finalState.IsFinal() {
 		sc.stopJob(now, j)
 	}
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -79,6 +79,8 @@
 	dirty        bool               // something changed since the last placement pass
 	lastPass     time.Time          // when the last placement pass ran
 	runningCores map[string]float64 // cores in use by team
+	crashes      []time.Time        // when workers crashed lately under their tasks
+	hasReserved  bool               // workers may be reserved for suspects of crashes
 }
 
 // Batch is the scheduler's output since the last TakeBatch: records to append to the journal, and orders that must wait for them.
--- a/core/sched/snapshot.go
+++ b/core/sched/snapshot.go
@@ -24,6 +24,7 @@
 	records = append(records, SnapshotStarted{Offset: sc.inboxOffset})
 	for _, id := range slices.Sorted(maps.Keys(sc.jobs)) {
 		records = append(records, snapshotJob(sc.jobs[id]).split(sc.options.maxTasksBytes())...)
+		records = append(records, snapshotCrashes(sc.jobs[id])...)
 	}
 	for id := range sc.earlyCancels {
 		records = append(records, JobCancelled{ID: id})
@@ -73,6 +74,24 @@
 	return saved
 }
 
+// snapshotCrashes returns a record for each task of an open job under which workers have crashed.
+func snapshotCrashes(j *job) []Record {
+	if !j.isOpen() {
+		return nil
+	}
+	var records []Record
+	for _, r := range j.rounds {
+		for _, s := range r.steps {
+			for _, t := range s.tasks {
+				if c := t.crashes; c != (crashHistory{}) {
+					records = append(records, TaskCrashes{Task: t.id(), Proven: c.proven, Suspected: c.suspected, Orphaned: c.orphaned, Doubtful: c.doubtful})
+				}
+			}
+		}
+	}
+	return records
+}
+
 // split returns the snapshot as it is if the job with its tasks takes at most maxBytes, else the job alone and its tasks in records of
 // at most that size.
 func (r JobSnapshot) split(maxBytes int) []Record {
@@ -144,6 +163,16 @@
 	return nil
 }
 
+func (sc *Scheduler) restoreCrashes(r TaskCrashes) {
+	j, known := sc.jobs[r.Task.Job]
+	if !known {
+		return
+	}
+	if t := j.taskByID(r.Task); t != nil {
+		t.setCrashes(crashHistory{proven: r.Proven, suspected: r.Suspected, orphaned: r.Orphaned, doubtful: r.Doubtful})
+	}
+}
+
 func (sc *Scheduler) restoreTask(j *job, saved *taskSnapshot) {
 	t := j.taskByID(saved.Task)
 	if t == nil {
--- a/core/sched/spec.go
+++ b/core/sched/spec.go
@@ -209,9 +209,13 @@
 	AttemptGangBroken                  // another task of its gang ended
 	AttemptGangTimeout                 // the other tasks of its gang didn't start in time
 	AttemptLost                        // it never started, or its worker is gone
+	AttemptCrashed                     // its worker crashed, and no other attempt can be the cause
+	AttemptSuspected                   // its worker crashed, and it is among those that may be the cause
+	AttemptDoubtful                    // its worker crashed, and it is not known whether it had started
+	AttemptOrphaned                    // its worker crashed, and another attempt or none is the cause more likely
 )
 
 // String returns the outcome's name, such as "lapsed" for an expired lease.
 func (o AttemptOutcome) String() string {
-	return [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone", "lost"}[o]
+	return [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone", "lost", "crashed", "suspected", "doubtful", "orphaned"}[o]
 }
--- a/core/sched/speculative_copies.go
+++ b/core/sched/speculative_copies.go
@@ -15,7 +15,7 @@
 		var pass *placementPass
 		for _, t := range sc.tasksToCopy(now, p) {
 			if pass == nil {
-				pass = &placementPass{workers: sc.schedulableWorkers(p.name, now)}
+				pass = &placementPass{pool: p, workers: sc.schedulableWorkers(p.name, now), isCrashing: p.isCrashing(now)}
 			}
 			if !sc.fitsTeamLimit(t.step, 1) || !sc.startWindow.hasSpace() {
 				break
@@ -51,7 +51,7 @@
 // canBeCopied reports whether the run is its task's only one and the task may have a second beside it.
 func (r *run) canBeCopied() bool {
 	t := r.task
-	return r.spec().Speculative && !r.spec().Gang && !r.stopping && !t.done && t.job().isOpen() && len(t.runs) == 1
+	return r.spec().Speculative && !r.spec().Gang && !r.stopping && !t.done && t.job().isOpen() && len(t.runs) == 1 && !t.crashes.isSuspect()
 }
 
 // copyAfter returns how long the run may take before its task gets a copy.
--- a/core/sched/starts.go
+++ b/core/sched/starts.go
@@ -26,7 +26,7 @@
 	case AnswerOK:
 		sc.confirmStart(now, r)
 	case AnswerUnknown:
-		sc.retryStart(now, r, res.Order)
+		sc.retryStart(now, r, res.Order, res.Latency)
 	case AnswerSuperseded, AnswerLeaseExpired, AnswerNoRoom, AnswerNoTicket, AnswerRefused, AnswerInvalid, AnswerWrongIncarnation, AnswerWithdrawn, AnswerBusy, AnswerFenced:
 		sc.applyRefusedStart(now, r, res.Answer)
 	}
@@ -65,7 +65,9 @@
 
 // confirmStart records that the worker has started the run.
 func (sc *Scheduler) confirmStart(now time.Time, r *run) {
+	r.inherited = r.phase == runInherited
 	r.phase, r.startedAt, r.absenceValidAfter = runConfirmed, now, now
+	r.worker.lastAliveAt = now
 	j := r.task.job()
 	if !j.started {
 		j.started = true
@@ -82,9 +84,10 @@
 
 // retryStart repeats an order that had no answer; the order is idempotent. After maxStartRetries repeats the run is stopped,
 // so that a delayed order can't start it later.
-func (sc *Scheduler) retryStart(now time.Time, r *run, o StartTask) {
+func (sc *Scheduler) retryStart(now time.Time, r *run, o StartTask, latency time.Duration) {
 	r.phase = runUnknown
 	if r.worker.unanswered == 0 {
+		r.worker.markUnanswered(now, latency >= callTimeout)
 		r.worker.unanswered = 1
 	}
 	if r.stopping {
--- a/core/sched/worker.go
+++ b/core/sched/worker.go
@@ -17,8 +17,10 @@
 	answeredAddress  string    // address at which it last answered, empty if it has not answered this owner yet
 	listed           bool
 	listedAt         time.Time
-	verified         bool // it has answered a call that carries the current owner's fencing token
-	unanswered       int  // consecutive calls without an answer
+	verified         bool      // it has answered a call that carries the current owner's fencing token
+	unanswered       int       // consecutive calls without an answer
+	lastAliveAt      time.Time // when it last answered a call
+	silentSince      time.Time // when the first of them failed
 	lastAnswerAt     time.Time
 	leasesExpireAt   time.Time // by then every run on the worker has ended unless its lease was renewed
 	pollInFlight     bool
@@ -38,6 +40,8 @@
 	staysUntil       time.Time // a draining worker stays at least until then
 	cordoned         bool      // no new tasks: its machine is about to be maintained or moved
 	surplus          bool      // no new tasks: its pool has more machines than it needs
+	reserved         bool      // no new tasks but suspects of crashes
+	suspect          *run      // the last run of a suspect of crashes that was started here
 }
 
 // runKey identifies a run on a worker.
@@ -65,10 +69,22 @@
 
 // isSchedulable reports whether new tasks may be placed on the worker.
 func (w *worker) isSchedulable(now time.Time) bool {
-	return w.answers() && !w.entry.Draining && !w.cordoned && !w.surplus &&
+	return w.answers() && !w.entry.Draining && !w.cordoned && !w.surplus && !w.isOnProbation(now) &&
 		!now.Before(w.fullUntil) && !now.Before(w.quarantinedUntil)
 }
 
+// markUnanswered records since when the worker is silent, before unanswered is raised. A call that fails before its timeout shows the
+// time; after a timeout the worker may have been silent since its last answer.
+func (w *worker) markUnanswered(now time.Time, timedOut bool) {
+	switch {
+	case w.unanswered > 0:
+	case timedOut:
+		w.silentSince = w.lastAliveAt
+	default:
+		w.silentSince = now
+	}
+}
+
 // hasRecentFaults reports whether attempts failed on the worker recently and none has succeeded since.
 func (w *worker) hasRecentFaults(now time.Time) bool {
 	return w.faults > 0 && now.Sub(w.lastFaultAt) < faultWindow
@@ -99,6 +115,9 @@
 	if _, found := w.runs[r.key()]; !found {
 		return
 	}
+	if w.suspect == r {
+		w.suspect = nil
+	}
 	delete(w.runs, r.key())
 	w.runList = slices.DeleteFunc(w.runList, func(other *run) bool { return other == r })
 	w.used = w.used.Sub(r.spec().Reservation())
--- a/core/sched/worker_list.go
+++ b/core/sched/worker_list.go
@@ -119,7 +119,7 @@
 			isSuccessor := func(other *worker) bool { return other.succeeds(w) && other.answers() }
 			if w.listed && w.unanswered > 0 && slices.ContainsFunc(workers, isSuccessor) {
 				sc.replacedWorkers[w.id] = w.incarnation
-				sc.removeWorker(now, w, "its machine runs another worker")
+				sc.crashWorker(now, w, "its machine runs another worker")
 			}
 		}
 	}
--- a/gate/lead/meters.go
+++ b/gate/lead/meters.go
@@ -48,7 +48,7 @@
 	counters := sc.Counters()
 	setGauge(metricAttempts, `{what="started"}`, float64(counters.Started()))
 	setGauge(metricAttempts, `{what="refused"}`, float64(counters.RefusedStarts()))
-	for outcome := sched.AttemptDone; outcome <= sched.AttemptLost; outcome++ {
+	for outcome := sched.AttemptDone; outcome <= sched.AttemptOrphaned; outcome++ {
 		setGauge(metricAttempts, fmt.Sprintf("{what=%q}", outcome), float64(counters.Ended(outcome)))
 	}
 	for _, l := range loads {
@@ -56,7 +56,7 @@
 			"machines": float64(l.Machines()), "needed": float64(l.Needed()), "usable": float64(l.Schedulable()),
 			"waiting-tasks": float64(l.Waiting()), "running-attempts": float64(l.Running()), "idle-cores": l.IdleCores(),
 			"arriving-cores": l.Rate(), "batch-cores": l.BatchCores(), "surplus": float64(l.Surplus()),
-			"urgent-work": l.UrgentWork(), "late-work": l.LateWork(),
+			"urgent-work": l.UrgentWork(), "late-work": l.LateWork(), "suspects": float64(l.Suspects()),
 		} {
 			setGauge(metricPoolGauge, fmt.Sprintf("{pool=%q,what=%q}", l.Pool(), what), value)
 		}
--- a/gate/lead/term.go
+++ b/gate/lead/term.go
@@ -229,7 +229,8 @@
 		if l.Running() > 0 || l.Waiting() > 0 {
 			klog.InfoS("pool-load", "pool", l.Pool(), "machines", l.Machines(), "needed", l.Needed(), "usable", l.Schedulable(),
 				"waiting", l.Waiting(), "running", l.Running(), "idle-cores", int(l.IdleCores()), "arriving-cores", int(l.Rate()),
-				"batch-cores", int(l.BatchCores()), "surplus", l.Surplus(), "urgent-work", int(l.UrgentWork()), "late-work", int(l.LateWork()))
+				"batch-cores", int(l.BatchCores()), "surplus", l.Surplus(), "urgent-work", int(l.UrgentWork()), "late-work", int(l.LateWork()),
+				"suspects", l.Suspects())
 		}
 	}
 }
