--- a/core/sched/starts.go
+++ b/core/sched/starts.go
@@ -102,8 +102,9 @@
 	sc.stopRun(now, r)
 }
 
-// IsStartWanted reports whether a start should still be sent after the wait for its record to be stored.
+// IsStartWanted reports whether a start should still be sent after the wait for its record to be stored. Its worker's capacity may
+// have shrunk meanwhile.
 func (sc *Scheduler) IsStartWanted(o StartTask) bool {
 	r := sc.findRun(o.Worker, o.Task, o.Attempt)
-	return r != nil && !r.stopping && r.task.job().isOpen()
+	return r != nil && !r.stopping && r.task.job().isOpen() && r.worker.fits()
 }
--- a/core/sched/worker.go
+++ b/core/sched/worker.go
@@ -92,6 +92,9 @@
 
 func (w *worker) free() setup.Resources { return w.entry.Capacity.Sub(w.used) }
 
+// fits reports whether everything on the worker fits into its capacity, which may have shrunk.
+func (w *worker) fits() bool { return w.used.FitsWithin(w.entry.Capacity) }
+
 // hasLabel reports whether the worker has the label. The empty label matches every worker.
 func (w *worker) hasLabel(label string) bool {
 	if label == "" {
