core/sched: an attempt that was given up and runs all the same holds its room (LIMIT)

A start that a worker carries out late, after its attempt was given up, was stopped but its room counted as free, so that another start could bring a worker that doesn't guard its capacity over it. Now such attempts count until a poll sent after a stop's time lacks them, and their worker is polled until then.

TestRunThatWasGivenUpHoldsItsRoomUntilItHasEnded failed before.

--- a/core/sched/room_test.go
+++ b/core/sched/room_test.go
@@ -64,3 +64,28 @@
 	}
 	assert.Equal(t, running, 1, "one of them fits")
 }
+
+// A worker has carried out a start late, after the attempt was given up. Guards against starts beside it that bring the worker over
+// its capacity before it is stopped (LIMIT).
+func TestRunThatWasGivenUpHoldsItsRoomUntilItHasEnded(t *testing.T) {
+	b := newTestBench(t, 1)
+	b.submit("a", StepSpec{Count: 1, CPU: 3000, MemMB: 100, EstimateMs: 1000})
+	o := b.answerStarts(AnswerNoRoom)[0]
+	late := ActiveRun{Task: o.Task, Attempt: o.Attempt, SpeedPercent: fullSpeed, Load: -1}
+	poll := func(active ...ActiveRun) {
+		takeOrders[PollWorker](b)
+		b.sc.ApplyResult(b.now, PollResult{Order: PollWorker{Worker: "w1"}, SentAt: b.now, Incarnation: 1, Active: active})
+		b.decideAndStore()
+	}
+	poll(late)
+	assert.Equal(t, len(takeOrders[StopTask](b)), 1)
+	b.advance(200 * time.Millisecond)
+	assert.Equal(t, len(b.answerStarts(AnswerOK)), 0, "the late run still holds its room")
+	poll()
+	b.advance(200 * time.Millisecond)
+	assert.Equal(t, len(b.answerStarts(AnswerOK)), 0, "a run that is being stopped is not listed")
+	b.advance(time.Second)
+	poll()
+	b.advance(200 * time.Millisecond)
+	assert.Equal(t, len(b.answerStarts(AnswerOK)), 1)
+}
--- a/core/sched/worker.go
+++ b/core/sched/worker.go
@@ -32,9 +32,11 @@
 	runs             map[runKey]*run
 	runList          []*run // the same runs, in the order in which they were added
 	used             setup.Resources
-	fullUntil        time.Time // the worker refused a start for lack of room; no new tasks until then
-	quarantinedUntil time.Time // failing, stalled or slow; no new tasks until then
-	faults           int       // failed attempts since the last successful one
+	strays           map[runKey]stray
+	strayRoom        setup.Resources // room that strays hold
+	fullUntil        time.Time       // the worker refused a start for lack of room; no new tasks until then
+	quarantinedUntil time.Time       // failing, stalled or slow; no new tasks until then
+	faults           int             // failed attempts since the last successful one
 	lastFaultAt      time.Time
 	lastSuccessAt    time.Time
 	staysUntil       time.Time // a draining worker stays at least until then
@@ -90,10 +92,7 @@
 	return w.faults > 0 && now.Sub(w.lastFaultAt) < faultWindow
 }
 
-func (w *worker) free() setup.Resources { return w.entry.Capacity.Sub(w.used) }
-
-// fits reports whether everything on the worker fits into its capacity, which may have shrunk.
-func (w *worker) fits() bool { return w.used.FitsWithin(w.entry.Capacity) }
+func (w *worker) free() setup.Resources { return w.entry.Capacity.Sub(w.used).Sub(w.strayRoom) }
 
 // hasLabel reports whether the worker has the label. The empty label matches every worker.
 func (w *worker) hasLabel(label string) bool {
