--- a/core/sched/crash.go
+++ b/core/sched/crash.go
@@ -100,6 +100,19 @@
 	}
 }
 
+// markPossibleCrash marks the runs that may have crashed a worker whose leases have expired, if it broke off its calls. What became of
+// it isn't known, so that this proves little.
+func (w *worker) markPossibleCrash() {
+	if !w.brokeOff {
+		return
+	}
+	for _, r := range w.runList {
+		if r.wasYoungAtSilence() {
+			r.crashOutcome = AttemptDoubtful
+		}
+	}
+}
+
 // crashSuspects returns the runs that started just before the worker fell silent, and those among them that are the cause most likely:
 // suspects of an earlier crash if there are any.
 func (w *worker) crashSuspects() (young, suspects []*run) {
--- a/core/sched/crash_harness_test.go
+++ b/core/sched/crash_harness_test.go
@@ -22,6 +22,7 @@
 	mostDown int
 	lives    int
 
+	noMachines   bool // the machines can't be listed
 	takesOver    bool // the owner fails after it has counted a crash, before it orders the task's next start
 	snapshots    bool // owners take over with a snapshot
 	takeOvers    int
@@ -148,7 +149,9 @@
 		machines = append(machines, m)
 	}
 	f.listWorkers()
-	f.sc.UpdateMachines(f.now, f.now, machines)
+	if !f.noMachines {
+		f.sc.UpdateMachines(f.now, f.now, machines)
+	}
 	f.decideAndStore()
 }
 
--- a/core/sched/crash_test.go
+++ b/core/sched/crash_test.go
@@ -22,18 +22,20 @@
 		step      StepSpec
 		takeOvers bool
 		snapshots bool
+		noList    bool // machines can't be listed
 	}{
-		{"runs once", oneCoreStep(1), false, false},
-		{"may be copied", speculativeStep(1), false, false},
-		{"with others of its job", oneCoreStep(6), false, false},
-		{"lasting", longRunningStep(1, 0), false, false},
-		{"under changing owners", oneCoreStep(1), true, false},
-		{"under changing owners with snapshots", oneCoreStep(1), true, true},
+		{"runs once", oneCoreStep(1), false, false, false},
+		{"while no machines are listed", oneCoreStep(1), false, false, true},
+		{"may be copied", speculativeStep(1), false, false, false},
+		{"with others of its job", oneCoreStep(6), false, false, false},
+		{"lasting", longRunningStep(1, 0), false, false, false},
+		{"under changing owners", oneCoreStep(1), true, false, false},
+		{"under changing owners with snapshots", oneCoreStep(1), true, true, false},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
 			f := newCrashFleet(t, 8, func(id TaskID) bool { return id.Job == "deadly" && id.Index == 0 })
-			f.takesOver, f.snapshots = s.takeOvers, s.snapshots
+			f.takesOver, f.snapshots, f.noMachines = s.takeOvers, s.snapshots, s.noList
 			f.submit("deadly", s.step)
 			f.runUntil(60*time.Second, func() bool { return len(f.sc.openJobs) == 0 })
 			assert.Equal(t, f.takeOvers > 0, s.takeOvers)
--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -88,6 +88,7 @@
 	for _, w := range expired {
 		if len(w.runs) > 0 && (w.unanswered > 0 || !w.verified) {
 			sc.logDecision(now, "leases-lapsed", "", w.id, "")
+			w.markPossibleCrash()
 			for _, r := range slices.Clone(w.runList) {
 				sc.endRun(now, r, AttemptLeaseExpired, "")
 			}
--- a/core/sched/worker.go
+++ b/core/sched/worker.go
@@ -21,6 +21,7 @@
 	unanswered       int       // consecutive calls without an answer
 	lastAliveAt      time.Time // when it last answered a call
 	silentSince      time.Time // when the first of them failed
+	brokeOff         bool      // it fell silent by calls that failed at once, as those to a process that has ended do
 	lastAnswerAt     time.Time
 	leasesExpireAt   time.Time // by then every run on the worker has ended unless its lease was renewed
 	pollInFlight     bool
@@ -81,9 +82,9 @@
 	switch {
 	case w.unanswered > 0:
 	case timedOut:
-		w.silentSince = w.lastAliveAt
+		w.silentSince, w.brokeOff = w.lastAliveAt, false
 	default:
-		w.silentSince = now
+		w.silentSince, w.brokeOff = now, true
 	}
 }
 
