core/sched: only tasks that last longer than the planning horizon are bounded by their cores

Within the horizon such tasks end and free their cores for the next ones, so need goes by their work as before.

--- a/core/sched/demand.go
+++ b/core/sched/demand.go
@@ -129,9 +129,9 @@
 			d.backlog = *work[name]
 		}
 		d.longRunningCores = longRunning[name]
-		late, lasting := d.late.usableCores(lateBacklogDrainTime), d.urgent.lastingCores()
+		late, lasting := d.late.neededCores(lateBacklogDrainTime), d.urgent.lastingCores()
 		forecast += lasting
-		current := max(d.urgent.usableCores(backlogDrainTime), lasting+sc.surges.trend(name).arrivalRate(now))
+		current := max(d.urgent.neededCores(backlogDrainTime), lasting+sc.surges.trend(name).arrivalRate(now))
 		d.neededAtLeast = max(d.machinesFor(d.longRunningCores), leastWorkers[name])
 		d.neededNow = max(d.machinesFor(d.longRunningCores+current), d.neededAtLeast)
 		d.neededWithForecast = max(d.machinesFor(d.longRunningCores+max(current, forecast)), d.neededAtLeast)
--- a/core/sched/workload.go
+++ b/core/sched/workload.go
@@ -39,15 +39,6 @@
 	l.classes[class].work += work
 }
 
-// merge adds all tasks of the other workload.
-func (l *workload) merge(other *workload) {
-	for i := range l.classes {
-		l.classes[i].cores += other.classes[i].cores
-		l.classes[i].work += other.classes[i].work
-	}
-	l.distant += other.distant
-}
-
 // total returns the core-seconds of all tasks.
 func (l *workload) total() float64 {
 	sum := l.distant
@@ -69,16 +60,27 @@
 	return sum
 }
 
-// usableCores returns how many cores the tasks can use on average over the given time.
-func (l *workload) usableCores(d time.Duration) float64 { return l.within(d) / d.Seconds() }
+// neededCores returns how many cores it takes to do the tasks within the given time. Tasks that last longer than planningHorizon need
+// the cores that they hold, and no more.
+func (l *workload) neededCores(d time.Duration) float64 {
+	sum := l.lastingCores()
+	for _, c := range l.classes {
+		if !c.isLasting() {
+			sum += c.work / d.Seconds()
+		}
+	}
+	return sum
+}
 
-// lastingCores returns how many cores are held by tasks that take longer than planningHorizon.
+// lastingCores returns how many cores are held by tasks that last longer than planningHorizon.
 func (l *workload) lastingCores() float64 {
 	sum := 0.0
 	for _, c := range l.classes {
-		if c.work > c.cores*planningHorizon.Seconds() {
+		if c.isLasting() {
 			sum += c.cores
 		}
 	}
 	return sum
 }
+
+func (c taskClass) isLasting() bool { return c.work > c.cores*planningHorizon.Seconds() }
