core/sched: workers that become free soon are counted in one pass

updateReachable went through all workers for each pool, sorted. The same count, but without marked workers that are idle already, which idleWorkers holds.

--- a/core/sched/moves.go
+++ b/core/sched/moves.go
@@ -102,9 +102,9 @@
 // updateReachable computes the cores that each pool has or can get soon: those of the donors, and those of machines that other
 // pools don't need and whose runs end soon.
 func (sc *Scheduler) updateReachable(now time.Time, demand map[string]*poolDemand, donors int) {
-	freeSoon, total := map[string]int{}, 0
+	freeSoon, total := sc.countFreeSoon(now), 0
 	for name, d := range demand {
-		freeSoon[name] = max(0, min(d.machines-d.needed-len(d.idleWorkers), sc.countFreeSoon(now, name)))
+		freeSoon[name] = max(0, min(d.machines-d.needed-len(d.idleWorkers), freeSoon[name]))
 		total += freeSoon[name]
 	}
 	for name, d := range demand {
@@ -113,15 +113,15 @@
 	}
 }
 
-// countFreeSoon returns how many of the pool's busy workers become idle within planningHorizon if they get no new tasks.
-func (sc *Scheduler) countFreeSoon(now time.Time, pool string) int {
-	n := 0
-	for _, w := range sc.freeableWorkers(pool) {
-		if w.isFreeBy(now, now.Add(planningHorizon)) {
-			n++
+// countFreeSoon returns how many busy workers of each pool become idle within planningHorizon if they get no new tasks.
+func (sc *Scheduler) countFreeSoon(now time.Time) map[string]int {
+	byPool := map[string]int{}
+	for _, w := range sc.workersByID {
+		if len(w.runs) > 0 && w.isHealthy() && w.isFreeBy(now, now.Add(planningHorizon)) {
+			byPool[w.entry.Pool]++
 		}
 	}
-	return n
+	return byPool
 }
 
 func (sc *Scheduler) standbyPool() string {
