platform, core/sched: a start to a closed port is known not to be sent

Starts that arrive just after their worker has crashed are refused by its closed port. They counted as unanswered: repeated twice, stopped, and waiting until the worker was known to be gone; and their tasks counted as suspects of the crash. Now such an attempt ends at once and its task starts elsewhere. Only an error of the dialing itself counts, since then no byte was sent; after a broken connection the outcome stays unknown.

--- a/core/sched/crash_test.go
+++ b/core/sched/crash_test.go
@@ -134,3 +134,18 @@
 	}
 	assert.Assert(t, f.mostDown <= workers/2, "%d of %d workers are down at a time", f.mostDown, workers)
 }
+
+// A worker crashes while starts to it are under way, and its port is closed when they arrive. Guards against suspecting tasks that it
+// never started, and against waiting for proof of that.
+func TestTasksWhoseStartWasNotSentAreStartedElsewhereAtOnce(t *testing.T) {
+	b := newTestBench(t, 2)
+	b.submit("a", oneCoreStep(2))
+	first := b.answerStarts(AnswerNotSent)
+	assert.Equal(t, len(first), 2)
+	again := b.answerStarts(AnswerOK)
+	assert.Equal(t, len(again), 2)
+	for _, o := range again {
+		assert.Assert(t, o.Worker != first[0].Worker)
+		assert.Equal(t, b.sc.jobs["a"].taskByID(o.Task).crashes, crashHistory{})
+	}
+}
--- a/core/sched/result.go
+++ b/core/sched/result.go
@@ -22,12 +22,13 @@
 	AnswerInvalid                             // the order cannot be carried out as given
 	AnswerWrongIncarnation                    // another incarnation answers at the worker's address
 	AnswerWithdrawn                           // the order was not sent, since it was no longer needed
+	AnswerNotSent                             // the worker's port is closed
 	AnswerUnknown                             // no answer: the order may have taken effect, or still do so
 )
 
 // String returns the answer's name, such as "no-room".
 func (a OrderAnswer) String() string {
-	return [...]string{"ok", "refused", "no-room", "no-ticket", "too-late", "outrun", "fenced", "busy", "invalid", "wrong-life", "withdrawn", "unknown"}[a]
+	return [...]string{"ok", "refused", "no-room", "no-ticket", "too-late", "outrun", "fenced", "busy", "invalid", "wrong-life", "withdrawn", "not-sent", "unknown"}[a]
 }
 
 // OrderResult is the outcome of an order: StartResult, StopResult, PollResult, ThrottleResult, AdviceResult, MoveResult or
--- a/core/sched/starts.go
+++ b/core/sched/starts.go
@@ -25,6 +25,11 @@
 	switch res.Answer {
 	case AnswerOK:
 		sc.confirmStart(now, r)
+	case AnswerNotSent:
+		w.markUnanswered(now, false)
+		w.unanswered++
+		sc.pollSoon(now, w)
+		sc.applyRefusedStart(now, r, res.Answer)
 	case AnswerUnknown:
 		sc.retryStart(now, r, res.Order, res.Latency)
 	case AnswerSuperseded, AnswerLeaseExpired, AnswerNoRoom, AnswerNoTicket, AnswerRefused, AnswerInvalid, AnswerWrongIncarnation, AnswerWithdrawn, AnswerBusy, AnswerFenced:
