--- a/core/sched/apply_result.go
+++ b/core/sched/apply_result.go
@@ -70,20 +70,21 @@
 	sc.orderImmediately(StopTask{Worker: r.worker.id, Task: r.task.id(), Attempt: r.number})
 }
 
+// stopRuns stops the remaining runs of a task.
+func (sc *Scheduler) stopRuns(now time.Time, t *task) {
+	for _, r := range t.runs {
+		if !r.stopping {
+			sc.stopRun(now, r)
+		}
+	}
+}
+
 // stopJob orders a stop for all attempts of a job that is cancelled or has failed.
 func (sc *Scheduler) stopJob(now time.Time, j *job) {
 	if j.runCount == 0 {
 		return
 	}
-	for _, round := range j.rounds {
-		for _, s := range round.steps {
-			for _, t := range s.tasks {
-				for _, r := range t.runs {
-					if !r.stopping {
-						sc.stopRun(now, r)
-					}
-				}
-			}
-		}
+	for t := range j.tasks() {
+		sc.stopRuns(now, t)
 	}
 }
--- a/core/sched/harness_test.go
+++ b/core/sched/harness_test.go
@@ -155,6 +155,20 @@
 	b.decideAndStore()
 }
 
+// submitQuotes submits jobs of two tasks, which run in the pool "desks", and returns how many were accepted.
+func (b *testBench) submitQuotes(first, count int) (accepted int) {
+	for i := first; i < first+count; i++ {
+		result, _ := b.sc.Submit(b.now, JobSpec{
+			ID: fmt.Sprint(i), Queue: "quotes", Pool: "desks", Steps: []StepSpec{oneCoreStep(2)}, Slack: 1.6, TargetMs: 600,
+			FirstReceivedMs: b.now.UnixMilli(),
+		})
+		if result == Accepted {
+			accepted++
+		}
+	}
+	return accepted
+}
+
 func (b *testBench) state(id string) string {
 	s, known := b.sc.State(id)
 	if !known {
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -1,6 +1,9 @@
 package sched
 
-import "time"
+import (
+	"iter"
+	"time"
+)
 
 // job is an accepted job with the state of its tasks.
 type job struct {
@@ -70,6 +73,21 @@
 	return time.UnixMilli(received).Add(slack).Add(time.Duration(j.spec.TargetMs) * time.Millisecond), criticalPath
 }
 
+// tasks yields the tasks of all rounds that have begun.
+func (j *job) tasks() iter.Seq[*task] {
+	return func(yield func(*task) bool) {
+		for _, r := range j.rounds {
+			for _, s := range r.steps {
+				for _, t := range s.tasks {
+					if !yield(t) {
+						return
+					}
+				}
+			}
+		}
+	}
+}
+
 func allSteps(int) bool { return true }
 
 // criticalPath returns the estimated time of the longest dependency chain over the included steps.
--- a/core/sched/load_patterns_test.go
+++ b/core/sched/load_patterns_test.go
@@ -168,12 +168,7 @@
 	b.listWorkers()
 	b.answerPolls()
 	b.listMachinesExcept()
-	for i := range 12 {
-		_, _ = b.sc.Submit(b.now, JobSpec{
-			ID: fmt.Sprint(i), Queue: "quotes", Pool: "desks", Steps: []StepSpec{oneCoreStep(2)}, Slack: 1.6, TargetMs: 600,
-			FirstReceivedMs: b.now.UnixMilli(),
-		})
-	}
+	b.submitQuotes(0, 12)
 	b.sc.options.AllowPoolMoves = true
 	b.runFor(600 * time.Millisecond)
 	moves := takeOrders[MoveMachine](b)
--- a/core/sched/long_tasks_test.go
+++ b/core/sched/long_tasks_test.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -29,12 +28,7 @@
 	const occupied = 4 // workers of 4 cores
 	needed := b.sc.demand["pots"].needed
 	assert.Assert(t, needed >= occupied && needed <= occupied+2, "%d machines needed", needed)
-	for i := range 12 {
-		_, _ = b.sc.Submit(b.now, JobSpec{
-			ID: fmt.Sprint(i), Queue: "quotes", Pool: "desks", Steps: []StepSpec{oneCoreStep(2)}, Slack: 1.6, TargetMs: 600,
-			FirstReceivedMs: b.now.UnixMilli(),
-		})
-	}
+	b.submitQuotes(0, 12)
 	b.runFor(600 * time.Millisecond)
 	moves := takeOrders[MoveMachine](b)
 	assert.Assert(t, len(moves) >= 5, "%v", moves)
@@ -91,13 +85,7 @@
 	b := submitLongTasks(t, 80)
 	accepted := 0
 	for i := range 60 {
-		result, _ := b.sc.Submit(b.now, JobSpec{
-			ID: fmt.Sprint(i), Queue: "quotes", Pool: "desks", Steps: []StepSpec{oneCoreStep(2)}, Slack: 1.6, TargetMs: 600,
-			FirstReceivedMs: b.now.UnixMilli(),
-		})
-		if result == Accepted {
-			accepted += 2
-		}
+		accepted += 2 * b.submitQuotes(i, 1)
 		b.runFor(100 * time.Millisecond)
 	}
 	const (
--- a/core/sched/polls.go
+++ b/core/sched/polls.go
@@ -127,7 +127,7 @@
 	record := TaskEnded{Task: e.Task, Attempt: e.Attempt, Outcome: AttemptDone}
 	sc.appendRecord(record)
 	sc.applyRunEnd(t, record, now)
-	sc.stopOtherRuns(now, t)
+	sc.stopRuns(now, t)
 }
 
 // applyActive updates a run that the worker lists as active. A run that should not be there is stopped.
--- a/core/sched/run_end.go
+++ b/core/sched/run_end.go
@@ -19,7 +19,7 @@
 	sc.updateWorkerHealth(now, r, outcome)
 	sc.applyRunEnd(r.task, record, now)
 	if r.task.done {
-		sc.stopOtherRuns(now, r.task)
+		sc.stopRuns(now, r.task)
 	}
 	if r.task.crashes.isExhausted(r.spec().LongRunning) {
 		sc.logDecision(now, "task-given-up", r.task.id().String(), r.worker.id, "workers crash under it")
--- a/core/sched/snapshot.go
+++ b/core/sched/snapshot.go
@@ -54,13 +54,9 @@
 		saved.Job.Payload, saved.Job.Steps = "", nil
 		return saved
 	}
-	for _, r := range j.rounds {
-		for _, s := range r.steps {
-			for _, t := range s.tasks {
-				if t.done || t.attempts > 0 {
-					saved.Tasks = append(saved.Tasks, snapshotTask(t))
-				}
-			}
+	for t := range j.tasks() {
+		if t.done || t.attempts > 0 {
+			saved.Tasks = append(saved.Tasks, snapshotTask(t))
 		}
 	}
 	return saved
@@ -80,13 +76,9 @@
 		return nil
 	}
 	var records []Record
-	for _, r := range j.rounds {
-		for _, s := range r.steps {
-			for _, t := range s.tasks {
-				if c := t.crashes; c != (crashHistory{}) {
-					records = append(records, TaskCrashes{Task: t.id(), Proven: c.proven, Suspected: c.suspected, Orphaned: c.orphaned, Doubtful: c.doubtful})
-				}
-			}
+	for t := range j.tasks() {
+		if c := t.crashes; c != (crashHistory{}) {
+			records = append(records, TaskCrashes{Task: t.id(), Proven: c.proven, Suspected: c.suspected, Orphaned: c.orphaned, Doubtful: c.doubtful})
 		}
 	}
 	return records
--- a/core/sched/speculative_copies.go
+++ b/core/sched/speculative_copies.go
@@ -69,12 +69,3 @@
 	}
 	return workers
 }
-
-// stopOtherRuns stops the remaining runs of a task that is done.
-func (sc *Scheduler) stopOtherRuns(now time.Time, t *task) {
-	for _, r := range t.runs {
-		if !r.stopping {
-			sc.stopRun(now, r)
-		}
-	}
-}
