--- a/core/sched/crash.go
+++ b/core/sched/crash.go
@@ -80,7 +80,7 @@
 
 // recordCrash marks the runs of a crashed worker with how they end.
 func (sc *Scheduler) recordCrash(now time.Time, w *worker) {
-	young, suspects := w.crashSuspects()
+	recent, suspects := w.crashSuspects()
 	for _, r := range w.runList {
 		r.crashOutcome = AttemptOrphaned
 	}
@@ -88,7 +88,7 @@
 		switch {
 		case r.phase != runConfirmed:
 			r.crashOutcome = AttemptDoubtful
-		case len(young) > 1:
+		case len(recent) > 1:
 			r.crashOutcome = AttemptSuspected
 		default:
 			r.crashOutcome = AttemptCrashed
@@ -107,7 +107,7 @@
 		return
 	}
 	for _, r := range w.runList {
-		if r.wasYoungAtSilence() {
+		if r.wasRecentAtSilence() {
 			r.crashOutcome = AttemptDoubtful
 		}
 	}
@@ -115,28 +115,28 @@
 
 // crashSuspects returns the runs that started just before the worker fell silent, and those among them that are the cause most likely:
 // suspects of an earlier crash if there are any.
-func (w *worker) crashSuspects() (young, suspects []*run) {
+func (w *worker) crashSuspects() (recent, suspects []*run) {
 	for _, r := range w.runList {
-		if !r.wasYoungAtSilence() {
+		if !r.wasRecentAtSilence() {
 			continue
 		}
-		young = append(young, r)
+		recent = append(recent, r)
 		if r.task.crashes.isSuspect() {
 			suspects = append(suspects, r)
 		}
 	}
 	if len(suspects) == 0 {
-		return young, young
+		return recent, recent
 	}
-	return young, suspects
+	return recent, suspects
 }
 
-// wasYoungAtSilence reports whether the run started just before its worker fell silent, as far as this owner knows. A suspect counts
-// as young while it is on probation.
-func (r *run) wasYoungAtSilence() bool {
+// wasRecentAtSilence reports whether the run started just before its worker fell silent, as far as this owner knows. A suspect counts
+// as recent while it is isolated.
+func (r *run) wasRecentAtSilence() bool {
 	age := crashSuspectAge
 	if r.worker.suspect == r {
-		age = probationTime
+		age = isolationTime
 	}
 	switch {
 	case r.phase != runConfirmed:
@@ -151,7 +151,7 @@
 
 // isDoubtful reports whether the run may have crashed its worker, which answers no more.
 func (r *run) isDoubtful() bool {
-	return (r.worker.unanswered > 0 || !r.worker.verified) && r.wasYoungAtSilence()
+	return (r.worker.unanswered > 0 || !r.worker.verified) && r.wasRecentAtSilence()
 }
 
 // outcomeOfLost returns the outcome of an attempt whose worker is gone.
--- a/core/sched/crash_test.go
+++ b/core/sched/crash_test.go
@@ -149,3 +149,33 @@
 		assert.Equal(t, b.sc.jobs["a"].taskByID(o.Task).crashes, crashHistory{})
 	}
 }
+
+// Suspects wait that can't start for other reasons. Guards against keeping workers idle for them.
+func TestSuspectsThatCannotStartReserveNoWorkers(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		step     StepSpec
+		reserved int
+	}{
+		{"it fits", oneCoreStep(1), 1},
+		{"no worker has the label", StepSpec{Count: 1, CPU: 1000, EstimateMs: 1000, Label: "gpu"}, 0},
+		{"larger than every worker", StepSpec{Count: 1, CPU: 5000, EstimateMs: 1000}, 0},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			b := newTestBench(t, 4)
+			b.sc.startWindow.limit = 1
+			b.sc.startWindow.inFlight = 1
+			b.submit("a", s.step)
+			b.sc.jobs["a"].taskByID(TaskID{Job: "a"}).setCrashes(crashHistory{suspected: 1})
+			b.advance(300 * time.Millisecond)
+			reserved := 0
+			for _, w := range b.sc.workersByID {
+				if w.reserved {
+					reserved++
+				}
+			}
+			assert.Equal(t, reserved, s.reserved)
+		})
+	}
+}
--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -137,8 +137,8 @@
 		switch {
 		case !w.verified || w.unanswered > 0:
 			// Nothing is renewed until the worker has answered.
-		case len(w.runs) == 0 && len(w.strays) > 0:
-			// It is polled until the strays have ended, and their leases aren't renewed.
+		case len(w.runs) == 0 && len(w.zombies) > 0:
+			// It is polled until the zombies have ended, and their leases aren't renewed.
 		case len(w.runs) == 0:
 			if now.Sub(w.lastAnswerAt) < sc.idlePollInterval() && w.lastEndSeen == w.lastEndStored {
 				continue
--- a/core/sched/placement_pass.go
+++ b/core/sched/placement_pass.go
@@ -60,7 +60,7 @@
 func (sc *Scheduler) pickWorker(now time.Time, t *task, pass *placementPass) *worker {
 	needs := t.step.spec.Reservation()
 	isSuspect := t.isSuspect()
-	if pass.isTooLarge(needs) || isSuspect && sc.probationSlotsLeft(now, pass) <= 0 {
+	if pass.isTooLarge(needs) || isSuspect && sc.isolationSlotsLeft(now, pass) <= 0 {
 		return nil
 	}
 	var best *worker
@@ -86,10 +86,10 @@
 	return best
 }
 
-// probationSlotsLeft returns how many more suspects may start in this pass.
-func (sc *Scheduler) probationSlotsLeft(now time.Time, pass *placementPass) int {
+// isolationSlotsLeft returns how many more suspects may start in this pass.
+func (sc *Scheduler) isolationSlotsLeft(now time.Time, pass *placementPass) int {
 	if !pass.slotsKnown {
-		pass.slots, pass.slotsKnown = sc.probationSlots(now, pass.pool), true
+		pass.slots, pass.slotsKnown = sc.isolationSlots(now, pass.pool), true
 	}
 	return pass.slots
 }
--- a/core/sched/polls.go
+++ b/core/sched/polls.go
@@ -75,7 +75,7 @@
 	}
 	if !res.Partial {
 		sc.endMissingRuns(now, w, listed, res.SentAt)
-		sc.forgetStrays(w, res.SentAt)
+		sc.forgetZombies(w, res.SentAt)
 	}
 	sc.adjustThrottling(w)
 	w.nextPollAt = now.Add(sc.minPollInterval())
@@ -103,8 +103,8 @@
 		sc.endRun(now, r, e.Outcome, e.Checkpoint)
 		return
 	}
-	delete(w.strays, runKey{e.Task, e.Attempt})
-	w.sumStrays()
+	delete(w.zombies, runKey{e.Task, e.Attempt})
+	w.sumZombies()
 	sc.applyLateEnd(now, e)
 }
 
@@ -134,7 +134,7 @@
 func (sc *Scheduler) applyActive(now time.Time, w *worker, key runKey, a ActiveRun) {
 	r := w.runs[key]
 	if r == nil {
-		sc.recordStray(now, w, key)
+		sc.recordZombie(now, w, key)
 		sc.orderImmediately(StopTask{Worker: w.id, Task: a.Task, Attempt: a.Attempt})
 		return
 	}
@@ -192,7 +192,7 @@
 	w.markUnanswered(now, true)
 	sc.recordCrash(now, w)
 	w.lastEndSeen, w.lastEndStored, w.faults = 0, 0, 0
-	w.strays, w.strayRoom = nil, setup.Resources{}
+	w.zombies, w.zombieRoom = nil, setup.Resources{}
 	w.incarnation = incarnation
 	for _, r := range w.runList {
 		if !r.stopping && (r.phase == runUnknown || r.phase == runOrdered) {
--- a/core/sched/worker.go
+++ b/core/sched/worker.go
@@ -33,8 +33,8 @@
 	runs             map[runKey]*run
 	runList          []*run // the same runs, in the order in which they were added
 	used             setup.Resources
-	strays           map[runKey]stray
-	strayRoom        setup.Resources // room that strays hold
+	zombies          map[runKey]zombie
+	zombieRoom       setup.Resources // room that zombies hold
 	fullUntil        time.Time       // the worker refused a start for lack of room; no new tasks until then
 	quarantinedUntil time.Time       // failing, stalled or slow; no new tasks until then
 	faults           int             // failed attempts since the last successful one
@@ -72,7 +72,7 @@
 
 // isSchedulable reports whether new tasks may be placed on the worker.
 func (w *worker) isSchedulable(now time.Time) bool {
-	return w.answers() && !w.entry.Draining && !w.cordoned && !w.surplus && !w.isOnProbation(now) &&
+	return w.answers() && !w.entry.Draining && !w.cordoned && !w.surplus && !w.isIsolating(now) &&
 		!now.Before(w.fullUntil) && !now.Before(w.quarantinedUntil)
 }
 
@@ -93,7 +93,7 @@
 	return w.faults > 0 && now.Sub(w.lastFaultAt) < faultWindow
 }
 
-func (w *worker) free() setup.Resources { return w.entry.Capacity.Sub(w.used).Sub(w.strayRoom) }
+func (w *worker) free() setup.Resources { return w.entry.Capacity.Sub(w.used).Sub(w.zombieRoom) }
 
 // hasLabel reports whether the worker has the label. The empty label matches every worker.
 func (w *worker) hasLabel(label string) bool {
--- /dev/null
+++ b/core/sched/zombies.go
@@ -0,0 +1,51 @@
+package sched
+
+import (
+	"time"
+
+	"mangowing/core/setup"
+)
+
+// zombie is an attempt that a worker runs although it was given up: its start was carried out late, for instance. It is stopped, and
+// holds its room until then.
+type zombie struct {
+	needs      setup.Resources
+	lastListed time.Time
+}
+
+// recordZombie counts the room of an attempt that the worker lists and the scheduler has given up. If its size is unknown, it counts
+// as the whole worker.
+func (sc *Scheduler) recordZombie(now time.Time, w *worker, key runKey) {
+	needs := w.entry.Capacity
+	if j, known := sc.jobs[key.task.Job]; known {
+		if t := j.taskByID(key.task); t != nil {
+			needs = t.step.spec.Reservation()
+		}
+	}
+	if w.zombies == nil {
+		w.zombies = map[runKey]zombie{}
+	}
+	w.zombies[key] = zombie{needs, now}
+	w.sumZombies()
+}
+
+// forgetZombies drops the zombies that have ended: a poll sent after the time that a stop takes doesn't list them.
+func (sc *Scheduler) forgetZombies(w *worker, sentAt time.Time) {
+	for key, s := range w.zombies {
+		if sentAt.After(s.lastListed.Add(sc.options.StopTimeout + stopListingDelay)) {
+			delete(w.zombies, key)
+		}
+	}
+	w.sumZombies()
+}
+
+// sumZombies updates the room that the worker's zombies hold.
+func (w *worker) sumZombies() {
+	w.zombieRoom = setup.Resources{}
+	for _, s := range w.zombies {
+		w.zombieRoom = w.zombieRoom.Add(s.needs)
+	}
+}
+
+// fits reports whether everything on the worker fits into its capacity, which may have shrunk.
+func (w *worker) fits() bool { return w.used.Add(w.zombieRoom).FitsWithin(w.entry.Capacity) }
