core/sched: a new owner isolates no workers without a cause

A worker that the new owner had not polled yet made each of its inherited attempts a possible cause of its silence, and so an isolated suspect: after a takeover no worker with attempts got new tasks until 200 ms after these were confirmed. Whether a task is a suspect is now asked before its new attempt is added. A restart under the same id that follows an order to the machine isn't taken for a crash either.

TestNewOwnerIsolatesNoWorkersWithoutCause failed before.

--- a/core/sched/crash.go
+++ b/core/sched/crash.go
@@ -67,19 +67,17 @@
 	t.crashes = c
 }
 
-// crashWorker ends all attempts on a worker that has ended without an order of this scheduler. The cause is one of the attempts,
-// or lies outside.
+// crashWorker ends all attempts on a worker that is known to be gone, and may have crashed.
 func (sc *Scheduler) crashWorker(now time.Time, w *worker, reason string) {
-	if w.entry.Draining || w.cordoned {
-		sc.removeWorker(now, w, reason)
-		return
-	}
 	sc.recordCrash(now, w)
 	sc.removeWorker(now, w, reason)
 }
 
-// recordCrash marks the runs of a crashed worker with how they end.
+// recordCrash marks the runs of a worker that has ended with how they end, unless it was to leave or its machine was ordered away.
 func (sc *Scheduler) recordCrash(now time.Time, w *worker) {
+	if w.entry.Draining || w.cordoned {
+		return
+	}
 	recent, suspects := w.crashSuspects()
 	for _, r := range w.runList {
 		r.crashOutcome = AttemptOrphaned
--- a/core/sched/crash_test.go
+++ b/core/sched/crash_test.go
@@ -179,3 +179,15 @@
 		})
 	}
 }
+
+// A new owner finds tasks running. Guards against keeping new tasks off their workers for a while, as for suspects of a crash.
+func TestNewOwnerIsolatesNoWorkersWithoutCause(t *testing.T) {
+	f := newCrashFleet(t, 1, func(TaskID) bool { return false })
+	f.submit("a", oneCoreStep(1))
+	f.runUntil(200*time.Millisecond, func() bool { return false })
+	f.takeOver()
+	f.submit("b", oneCoreStep(1))
+	f.step()
+	f.step()
+	assert.Equal(t, f.starts[TaskID{Job: "b"}], 1)
+}
--- a/core/sched/lifecycle.go
+++ b/core/sched/lifecycle.go
@@ -113,6 +113,7 @@
 // addRun adds an attempt of the task to the worker, and to the counts of the step, job, team and pool.
 func (sc *Scheduler) addRun(t *task, w *worker, attempt int) *run {
 	s := t.step
+	isSuspect := t.isSuspect()
 	if t.isWaiting() {
 		s.waitingTasks--
 	}
@@ -126,7 +127,7 @@
 	}
 	s.runsByWorker[w.id]++
 	w.addRun(r)
-	if t.isSuspect() {
+	if isSuspect {
 		w.suspect = r
 	}
 	team := sc.ensureTeam(t.job().spec.Team)
