--- a/core/sched/worker.go
+++ b/core/sched/worker.go
@@ -19,10 +19,10 @@
 	listedAt         time.Time
 	verified         bool      // it has answered a call that carries the current owner's fencing token
 	unanswered       int       // consecutive calls without an answer
-	lastAliveAt      time.Time // when it last answered a call
-	silentSince      time.Time // when the first of them failed
+	lastAliveAt      time.Time // when it last answered a poll or confirmed a start
+	silentSince      time.Time // when it fell silent, as far as known; valid while unanswered is not 0
 	brokeOff         bool      // it fell silent by calls that failed at once, as those to a process that has ended do
-	lastAnswerAt     time.Time
+	lastAnswerAt     time.Time // when it last answered a poll
 	leasesExpireAt   time.Time // by then every run on the worker has ended unless its lease was renewed
 	pollInFlight     bool
 	renewalsInFlight int // unanswered calls (polls and starts) that may renew the leases of its runs
