--- a/core/sched/long_tasks_test.go
+++ b/core/sched/long_tasks_test.go
@@ -96,3 +96,25 @@
 	assert.Assert(t, float64(accepted) <= cores*(seconds+maxUsefulWait), "%d core-seconds accepted for %d cores", accepted, cores)
 	assert.Assert(t, accepted >= cores*seconds/2, "%d core-seconds accepted for %d cores", accepted, cores)
 }
+
+// Tasks of two seconds wait in a pool. Guards against taking the cores that they hold for all that they need: they end and free their
+// cores for the next ones within the planning horizon (hlt-sched-grown, scale-2).
+func TestTasksWithinThePlanningHorizonNeedMachinesByTheirWork(t *testing.T) {
+	const cores = 8
+	scenarios := []struct {
+		testName string
+		estimate time.Duration
+		expected float64
+	}{
+		{"as long as the time to drain", backlogDrainTime, cores},
+		{"longer, within the horizon", 2 * backlogDrainTime, 2 * cores},
+		{"longer than the horizon", 20 * backlogDrainTime, cores},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			var l workload
+			l.add(cores, 0, s.estimate)
+			assert.Equal(t, l.neededCores(backlogDrainTime), s.expected)
+		})
+	}
+}
