core/sched: evacuation of a data centre

Cause: operators ask that a data centre be evacuated, and no task may start there from 5 s after the request.

--- a/core/sched/codec.go
+++ b/core/sched/codec.go
@@ -27,6 +27,7 @@
 	tagMaintenanceOrdered
 	tagTasksSnapshot
 	tagTaskCrashes
+	tagEvacuationChanged
 )
 
 var decoders = map[recordTag]func(body []byte) (Record, error){
@@ -44,6 +45,7 @@
 	tagMaintenanceOrdered: decodeAs[MaintenanceOrdered],
 	tagTasksSnapshot:      decodeAs[TasksSnapshot],
 	tagTaskCrashes:        decodeAs[TaskCrashes],
+	tagEvacuationChanged:  decodeAs[EvacuationChanged],
 }
 
 // Encode returns the binary form of the record: codec version, tag and CBOR body.
--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -69,6 +69,7 @@
 		sc.quarantineStalledWorkers(now)
 		sc.quarantineSlowWorkers(now)
 		sc.stopTasksOnDrainingWorkers(now)
+		sc.stopTasksInEvacuation(now)
 		sc.reserveForSuspects(now)
 		sc.preempt(now)
 		sc.startSpeculativeCopies(now)
--- a/core/sched/demand.go
+++ b/core/sched/demand.go
@@ -18,6 +18,8 @@
 	neededWithForecast int     // the same with forecast work
 	neededAtLeast      int     // machines for long-running tasks only, spread as minWorkers requires
 	arriving           int     // machines that are moving into the pool
+	evacuated          int     // machines in evacuated data centres, not counted above
+	outside            int     // all other machines
 	idleWorkers        []*worker
 	longRunningCores   float64 // cores of long-running tasks
 	reachableCores     float64 // cores for batch work that the pool has or can get from others
@@ -71,7 +73,7 @@
 func (sc *Scheduler) countWorkersAsMachines(demand map[string]*poolDemand) {
 	for _, w := range sc.workersByID {
 		d, found := demand[w.entry.Pool]
-		if !found || !w.isHealthy() {
+		if !found || sc.skipEvacuated(d, w.evacuated, w.entry.Capacity.Cores()) || !w.isHealthy() {
 			continue
 		}
 		d.machines++
@@ -87,10 +89,13 @@
 		if !found || m.entry.State == MachineDown && m.targetPool == "" {
 			continue
 		}
+		w := byMachine[m.entry.ID]
+		if sc.skipEvacuated(d, sc.isMachineEvacuated(m, w), setup.Resources{CPU: m.entry.Capacity.CPU, GPU: m.entry.Capacity.GPU}.Cores()) {
+			continue
+		}
 		if m.targetPool != "" {
 			d.arriving++
 		}
-		w := byMachine[m.entry.ID]
 		if w == nil || w.isHealthy() || now.Sub(w.listedAt) < workerJoinDelay {
 			d.machines++
 		}
--- a/core/sched/intake.go
+++ b/core/sched/intake.go
@@ -29,6 +29,9 @@
 	if sc.HasJob(spec.ID) {
 		return Duplicate, Refusal{}
 	}
+	if r, refused := sc.refuseEvacuated(&spec); refused {
+		return Overloaded, r
+	}
 	spec.OverShare = sc.exceedsShare(now, &spec)
 	if r, refused := sc.checkOverload(&spec); refused {
 		return Overloaded, r
--- a/core/sched/isolation.go
+++ b/core/sched/isolation.go
@@ -95,7 +95,9 @@
 		if w.entry.Pool != p.name || !w.listed {
 			continue
 		}
-		workers++
+		if !w.evacuated {
+			workers++
+		}
 		if w.isIsolating(now) {
 			isolating++
 		}
@@ -132,7 +134,7 @@
 // hasWorkerFor reports whether a worker of the pool could run a task of the step if nothing else ran there.
 func (sc *Scheduler) hasWorkerFor(p *pool, s *step) bool {
 	return slices.ContainsFunc(sc.workersByID, func(w *worker) bool {
-		return w.entry.Pool == p.name && w.hasLabel(s.spec.Label) && s.spec.Reservation().FitsWithin(w.entry.Capacity)
+		return w.entry.Pool == p.name && !w.evacuated && w.hasLabel(s.spec.Label) && s.spec.Reservation().FitsWithin(w.entry.Capacity)
 	})
 }
 
--- a/core/sched/lifecycle.go
+++ b/core/sched/lifecycle.go
@@ -14,6 +14,7 @@
 	clear(sc.maintained)
 	clear(sc.maintenanceOrders)
 	clear(sc.earlyCancels)
+	sc.evacuations = evacuations{}
 	clear(sc.workers)
 	clear(sc.teams)
 	clear(sc.pools)
--- a/core/sched/moves.go
+++ b/core/sched/moves.go
@@ -160,7 +160,7 @@
 }
 
 func (sc *Scheduler) canMove(now time.Time, m *machine) bool {
-	return m.entry.State == MachineUp && m.targetPool == "" && m.maintenanceWave == 0 && !m.hasOrderInFlight(now, sc.options) && !now.Before(m.backoffUntil)
+	return m.entry.State == MachineUp && !sc.evacuations.Contains(m.entry.DataCentre) && m.targetPool == "" && m.maintenanceWave == 0 && !m.hasOrderInFlight(now, sc.options) && !now.Before(m.backoffUntil)
 }
 
 // sortByShortage returns the pools that are short of machines, the largest shortage first.
--- a/core/sched/placement_pass.go
+++ b/core/sched/placement_pass.go
@@ -70,7 +70,7 @@
 			continue
 		}
 		fits = true
-		if !w.mayStart(now, isSuspect, pass.isCrashing) || !sc.isEligible(now, t, w) {
+		if w.held && !t.step.spec.LongRunning || !w.mayStart(now, isSuspect, pass.isCrashing) || !sc.isEligible(now, t, w) {
 			continue
 		}
 		if best == nil || isSuspect && compareForSuspect(w, best) < 0 || !isSuspect && sc.isBetterWorker(t, w, best) {
--- a/core/sched/record.go
+++ b/core/sched/record.go
@@ -1,8 +1,8 @@
 package sched
 
 // Record is an entry of the journal: JobAccepted, JobCancelled, TaskStarted, TaskEnded, InboxAdvanced, WaveSeen,
-// MaintenanceOrdered, MaintenanceDone, SurgeSeen, SnapshotStarted, JobSnapshot, TasksSnapshot, TaskCrashes or SnapshotEnded. Records are stored as CBOR
-// arrays, so the order and the types of their fields must not change.
+// MaintenanceOrdered, MaintenanceDone, SurgeSeen, EvacuationChanged, SnapshotStarted, JobSnapshot, TasksSnapshot, TaskCrashes or
+// SnapshotEnded. Records are stored as CBOR arrays, so the order and the types of their fields must not change.
 type Record interface {
 	tag() recordTag
 }
@@ -74,6 +74,14 @@
 	CycleMs   int64   // time between the starts of two surges
 }
 
+// EvacuationChanged records that the evacuation of a data centre begins or ends. Without a data centre it records the offset only.
+type EvacuationChanged struct {
+	_          struct{} `cbor:",toarray"`
+	DataCentre string
+	SinceMs    int64 // when the evacuation became known in Unix milliseconds, 0 if it ends
+	Offset     int64 // the operators' declarations were read up to this offset
+}
+
 // SnapshotStarted starts a snapshot of the whole state. The snapshot replaces the state from earlier records once its
 // SnapshotEnded is replayed.
 type SnapshotStarted struct {
@@ -146,4 +154,5 @@
 func (JobSnapshot) tag() recordTag        { return tagJobSnapshot }
 func (TasksSnapshot) tag() recordTag      { return tagTasksSnapshot }
 func (TaskCrashes) tag() recordTag        { return tagTaskCrashes }
+func (EvacuationChanged) tag() recordTag  { return tagEvacuationChanged }
 func (SnapshotEnded) tag() recordTag      { return tagSnapshotEnded }
--- a/core/sched/refusal.go
+++ b/core/sched/refusal.go
@@ -11,11 +11,12 @@
 	shareExceeded                    // it exceeds its team's rate of new jobs, and its pool is busy
 	teamLimitExceeded                // the work ahead of its team takes too long under the team's resource limit
 	schedulerOverloaded              // the scheduler process has no CPU time for it
+	poolEvacuated                    // all data centres of its pool are evacuated
 )
 
 // String returns the cause's name, such as "pool-full".
 func (c refusalCause) String() string {
-	return [...]string{"none", "pool-full", "share-used", "limit-used", "owner-busy"}[c]
+	return [...]string{"none", "pool-full", "share-used", "limit-used", "owner-busy", "evacuated"}[c]
 }
 
 // Refusal is why a job was refused, and when the client may retry. The zero value is no refusal.
--- a/core/sched/replay.go
+++ b/core/sched/replay.go
@@ -96,6 +96,8 @@
 		sc.maintenanceOrders[r.Machine] = r.Wave
 	case MaintenanceDone:
 		sc.applyMaintenanceDone(r)
+	case EvacuationChanged:
+		sc.applyEvacuationChanged(r)
 	case SurgeSeen:
 		sc.surges.restore(r)
 	default:
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -25,6 +25,7 @@
 	waveFirstSeen     map[int64]int64 // wave number -> when it became known, in Unix milliseconds
 	maintained        map[maintenanceKey]bool
 	maintenanceOrders map[string]int64 // machine id -> wave whose maintenance was ordered and is not confirmed as done
+	evacuations       evacuations
 	surges            surgeForecast
 	snapshot          pendingSnapshot // used during replay only
 
@@ -126,6 +127,7 @@
 func (sc *Scheduler) TakeOwnership(now time.Time, predecessorRenewalTime time.Duration) {
 	sc.ownedSince = now
 	sc.batch = Batch{}
+	sc.dropDisabledEvacuations()
 	clear(sc.changedJobs)
 	for _, j := range sc.jobs {
 		j.stored, j.storedState = true, j.state()
--- a/core/sched/snapshot.go
+++ b/core/sched/snapshot.go
@@ -17,8 +17,8 @@
 	maxNumberBytes = 9
 )
 
-// Snapshot returns the records that restore the current state when they are replayed: jobs, early cancellations, waves and
-// surges.
+// Snapshot returns the records that restore the current state when they are replayed: jobs, early cancellations, waves, evacuations
+// and surges.
 func (sc *Scheduler) Snapshot() []Record {
 	records := make([]Record, 0, len(sc.jobs)+2)
 	records = append(records, SnapshotStarted{Offset: sc.inboxOffset})
@@ -38,6 +38,7 @@
 	for id, number := range sc.maintenanceOrders {
 		records = append(records, MaintenanceOrdered{Wave: number, Machine: id})
 	}
+	records = append(records, sc.snapshotEvacuations()...)
 	for name, t := range sc.surges.pools {
 		records = append(records, sc.surges.toRecord(name, t))
 	}
--- a/core/sched/starts.go
+++ b/core/sched/starts.go
@@ -98,7 +98,7 @@
 	if r.stopping {
 		return
 	}
-	if r.retries++; r.retries <= maxStartRetries {
+	if r.retries++; r.retries <= maxStartRetries && !r.worker.evacuated {
 		r.worker.renewalsInFlight++
 		sc.orderImmediately(o)
 		return
@@ -108,8 +108,8 @@
 }
 
 // IsStartWanted reports whether a start should still be sent after the wait for its record to be stored. Its worker's capacity may
-// have shrunk meanwhile.
+// have shrunk meanwhile, or its data centre be evacuated.
 func (sc *Scheduler) IsStartWanted(o StartTask) bool {
 	r := sc.findRun(o.Worker, o.Task, o.Attempt)
-	return r != nil && !r.stopping && r.task.job().isOpen() && r.worker.fits()
+	return r != nil && !r.stopping && r.task.job().isOpen() && r.worker.fits() && !r.worker.evacuated
 }
--- a/core/sched/walk_harness_test.go
+++ b/core/sched/walk_harness_test.go
@@ -31,6 +31,8 @@
 	violations   []string
 	nextID       int
 	faultsOn     bool // orders may be lost or delayed, and owners may fail
+	options      Options
+	requests     *simRequests // nil if there are no evacuations
 }
 
 type simWorker struct {
@@ -72,10 +74,11 @@
 	stepTime         = 50 * time.Millisecond
 )
 
-func newSimulation(seed uint64) *simulation {
+func newSimulation(seed uint64, options Options, requests *simRequests) *simulation {
 	w := &simulation{
 		rng: rand.New(rand.NewPCG(seed, seed)), snapshotRNG: rand.New(rand.NewPCG(seed, 0)), now: testStart, workers: map[string]*simWorker{}, shownStates: map[string]JobState{},
 		ackedDone: map[TaskID]time.Time{}, lastStart: map[TaskID]time.Time{}, cancelled: map[string]bool{}, specs: map[string]JobSpec{}, faultsOn: true,
+		options: options, requests: requests,
 	}
 	for i := range simWorkers {
 		id := fmt.Sprintf("w%d", i)
@@ -98,7 +101,7 @@
 func (w *simulation) takeOver() {
 	w.token++
 	w.maybeSaveSnapshot()
-	w.scheduler = New(Options{})
+	w.scheduler = New(w.options)
 	for _, r := range w.journal {
 		if err := w.scheduler.Replay(r); err != nil {
 			w.reportViolation("replay: %v", err)
@@ -121,7 +124,7 @@
 	if kind == none {
 		return
 	}
-	stored := New(Options{})
+	stored := New(w.options)
 	for _, r := range w.journal {
 		if err := stored.Replay(r); err != nil {
 			w.reportViolation("replay: %v", err)
@@ -138,7 +141,7 @@
 	entries := map[string]WorkerEntry{}
 	for id, s := range w.workers {
 		entries[id] = WorkerEntry{
-			ID: id, Machine: "m-" + id, Pool: "pots", Labels: []string{"k", "r1"},
+			ID: id, Machine: "m-" + id, Pool: "pots", DataCentre: simDataCentre(id), Labels: []string{"k", "r1"},
 			Capacity: setup.Resources{CPU: simMilliCores, MemMB: 1 << 20}, Incarnation: s.incarnation,
 		}
 	}
@@ -152,6 +155,7 @@
 		w.advanceWorker(w.workers[id])
 	}
 	w.deliverDelayed()
+	w.requests.step(w)
 	w.scheduler.Decide(w.now)
 	w.storeBatch()
 	w.checkStates()
@@ -171,6 +175,7 @@
 func (w *simulation) storeBatch() {
 	batch := w.scheduler.TakeBatch()
 	immediate := w.scheduler.TakeImmediateOrders()
+	w.requests.checkRecords(w, batch.Records)
 	if w.faultsOn && w.rng.IntN(400) == 0 {
 		if w.rng.IntN(2) == 0 {
 			w.journal = append(w.journal, batch.Records...)
@@ -187,6 +192,10 @@
 
 // deliver sends an order to its worker. With faults on, the order may be delayed or lost, or only its answer may be lost.
 func (w *simulation) deliver(o Order) {
+	if start, ok := o.(StartTask); ok && w.requests != nil && !w.scheduler.IsStartWanted(start) {
+		w.scheduler.ApplyResult(w.now, StartResult{Order: start, Answer: AnswerWithdrawn})
+		return
+	}
 	roll := 100
 	if w.faultsOn {
 		roll = w.rng.IntN(100)
--- a/core/sched/walk_test.go
+++ b/core/sched/walk_test.go
@@ -25,6 +25,7 @@
 func (w *simulation) checkStart(s *simWorker, o StartTask, sentAt time.Time, spec JobSpec) {
 	copiesAllowed := spec.Steps[o.Task.Step].Speculative
 	w.checkDuplicate(s, o, sentAt, copiesAllowed)
+	w.requests.checkStart(w, s, o)
 	if w.shownStates[o.Task.Job] == StateCompleted && !copiesAllowed {
 		w.reportViolation("task %s of a completed job is started", o.Task)
 	}
@@ -172,8 +173,8 @@
 	}
 }
 
-func runWalk(seed uint64) *simulation {
-	w := newSimulation(seed)
+func runWalk(seed uint64, options Options, requests *simRequests) *simulation {
+	w := newSimulation(seed, options, requests)
 	for range faultySteps {
 		w.injectEvent()
 		w.step()
@@ -199,7 +200,7 @@
 		first = n
 	}
 	for seed := first; seed < first+seeds; seed++ {
-		w := runWalk(uint64(seed))
+		w := runWalk(uint64(seed), Options{}, nil)
 		assert.Equal(t, len(w.violations), 0, "seed %d, %d jobs: %v", seed, len(w.jobs), w.violations)
 	}
 }
--- a/core/sched/waves.go
+++ b/core/sched/waves.go
@@ -118,7 +118,7 @@
 	cost := func(m *machine) int {
 		w := byMachine[m.entry.ID]
 		switch {
-		case w == nil:
+		case w == nil, w.evacuated && len(w.runs) == 0:
 			return 0
 		case w.cordoned:
 			return 1 + w.countBatchRuns()
@@ -177,6 +177,9 @@
 	}
 	for _, r := range w.runList {
 		s := r.task.step
+		if w.evacuated && !sc.canLeave(now, r) {
+			continue
+		}
 		if s.spec.LongRunning && !r.stopping && r.phase == runConfirmed && (s.spec.MaxUnavailable == 0 || s.countUnavailable() < s.spec.MaxUnavailable) {
 			sc.stopRun(now, r)
 		}
@@ -191,10 +194,10 @@
 }
 
 // trySpare reports whether the machine's pool can do without it now. If so, it takes the machine off the pool's count, unless
-// the machine is forced down or was cordoned already.
+// the machine is forced down, was cordoned already or is in an evacuated data centre.
 func (sc *Scheduler) trySpare(m *machine, w *worker, demand map[string]*poolDemand, force bool) bool {
 	d := demand[m.entry.Pool]
-	if d == nil || force || w.cordoned {
+	if d == nil || force || w.cordoned || sc.isMachineEvacuated(m, w) {
 		return true
 	}
 	if d.machines > d.needed {
@@ -213,6 +216,10 @@
 	if !w.answers() {
 		return false
 	}
+	if w.evacuated && !force && w.hasLongRunning() {
+		// They move away first, since they can't start here again.
+		return false
+	}
 	return (w.countBatchRuns() == 0 || force && w.countBatchRuns() <= maxForcedTasks) && w.canEvictLongRunning()
 }
 
--- a/core/sched/worker.go
+++ b/core/sched/worker.go
@@ -44,6 +44,8 @@
 	cordoned         bool      // no new tasks: its machine is about to be maintained or moved
 	surplus          bool      // no new tasks: its pool has more machines than it needs
 	reserved         bool      // no new tasks but suspects of crashes
+	evacuated        bool      // no new tasks: its data centre is evacuated
+	held             bool      // no new tasks but long-running ones, which move here from an evacuated data centre
 	suspect          *run      // the last run of a suspect of crashes that was started here
 }
 
@@ -72,7 +74,7 @@
 
 // isSchedulable reports whether new tasks may be placed on the worker.
 func (w *worker) isSchedulable(now time.Time) bool {
-	return w.answers() && !w.entry.Draining && !w.cordoned && !w.surplus && !w.isIsolating(now) &&
+	return w.answers() && !w.entry.Draining && !w.cordoned && !w.surplus && !w.evacuated && !w.isIsolating(now) &&
 		!now.Before(w.fullUntil) && !now.Before(w.quarantinedUntil)
 }
 
@@ -145,7 +147,7 @@
 
 // isHealthy reports whether the worker takes new tasks, leaving aside a backoff, quarantine or surplus mark, which end soon.
 func (w *worker) isHealthy() bool {
-	return w.answers() && !w.entry.Draining && !w.cordoned
+	return w.answers() && !w.entry.Draining && !w.cordoned && !w.evacuated
 }
 
 func (w *worker) hasLongRunning() bool {
--- a/core/sched/worker_list.go
+++ b/core/sched/worker_list.go
@@ -67,6 +67,7 @@
 		w.addressSince = now
 	}
 	w.entry = e
+	sc.updateEvacuated(now, w)
 }
 
 // findSharedMachines finds the machines for which several workers are listed. A machine runs one worker at a time, but the list
