Evacuations from the operators' topic to the owner

Cause: the scheduler can evacuate data centres, and nothing told it which. Starts are held while the last read that has returned was started more than 0.8 of the bound ago: a paused owner may send orders again before it has read what was declared meanwhile. Moves of evacuated machines that wait are withdrawn.

--- a/gate/feed/configs.go
+++ b/gate/feed/configs.go
@@ -52,7 +52,7 @@
 	FetchConfig(ctx context.Context, address string) ([]byte, error)
 }
 
-// Configs is a gate's copy of the configuration and waves that operators have declared.
+// Configs is a gate's copy of the configuration, waves and evacuations that operators have declared.
 type Configs struct {
 	operators ports.Operators
 	peers     ConfigPeers
@@ -62,6 +62,7 @@
 	encoded           []byte
 	confirmedAt       time.Duration // when cfg was last known to be the newest, as time since boot
 	waves             map[int64]sched.Wave
+	evacuations       evacuations
 	subscribers       []chan struct{}
 	platformReachable bool // whether the last read of the platform succeeded
 	fetching          bool // whether a configuration is being fetched from another gate
@@ -115,7 +116,7 @@
 	return waves
 }
 
-// Subscribe returns a channel that signals after each new configuration or wave.
+// Subscribe returns a channel that signals after each new configuration or wave, and each change of the evacuations.
 func (c *Configs) Subscribe() <-chan struct{} {
 	ch := make(chan struct{}, 1)
 	c.mu.Lock()
@@ -135,12 +136,12 @@
 			continue
 		}
 		if err != nil {
-			c.recordReadFailure(err)
+			c.recordReadFailure(err, started)
 			timer.Sleep(ctx, retryPause)
 			continue
 		}
+		c.applyDeclarations(declared, after, !known, started)
 		next, known = after, true
-		c.applyDeclarations(declared, started)
 	}
 	return ctx.Err()
 }
@@ -154,22 +155,24 @@
 	return c.operators.Changes(ctx, next, readWait)
 }
 
-func (c *Configs) recordReadFailure(err error) {
+func (c *Configs) recordReadFailure(err error, started time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.platformReachable {
 		klog.InfoS("platform-lost", "part", "declarations", "error", err.Error())
 	}
-	c.platformReachable = false
+	c.platformReachable, c.evacuations.readAt = false, started
 }
 
-func (c *Configs) applyDeclarations(declared []ports.Declaration, started time.Duration) {
+// applyDeclarations applies declarations that were read up to the offset, by a full read or since the last read.
+func (c *Configs) applyDeclarations(declared []ports.Declaration, offset int64, isFullRead bool, started time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.platformReachable {
 		klog.InfoS("platform-reached", "part", "declarations")
 	}
-	c.platformReachable = true
+	c.platformReachable, c.evacuations.readAt = true, started
+	c.updateEvacuations(declared, offset, isFullRead)
 	for _, d := range declared {
 		if d.Config != nil {
 			c.install(d.Config, d.EncodedConfig, "platform")
--- a/gate/lead/orders.go
+++ b/gate/lead/orders.go
@@ -40,6 +40,10 @@
 	case sched.RequestAdvice:
 		t.runAsync(ctx, adviceTimeout, sched.AdviceResult{Order: o, Answer: sched.AnswerUnknown}, func(ctx context.Context) sched.OrderResult { return t.deps.Advisor.Advise(ctx, o) })
 	case sched.MoveMachine:
+		if !t.scheduler.CanStillMove(o) {
+			t.scheduler.ApplyResult(time.Now(), sched.MoveResult{Order: o, Answer: sched.AnswerWithdrawn})
+			return
+		}
 		t.dispatchMachineOrder(ctx, o, sched.MoveResult{Order: o, Answer: sched.AnswerUnknown}, sched.MoveResult{Order: o, Answer: sched.AnswerWithdrawn},
 			func(ctx context.Context) sched.OrderResult {
 				return sched.MoveResult{Order: o, Answer: t.deps.Machines.Move(ctx, o, t.epoch)}
@@ -63,14 +67,14 @@
 		t.scheduler.ApplyResult(time.Now(), sched.StartResult{Order: o, Answer: sched.AnswerWithdrawn})
 		return
 	}
-	if !t.deps.Elector.CanOrder() {
+	if !t.canStart() {
 		t.heldOrders = append(t.heldOrders, o)
 		return
 	}
 	dispatchedAt := time.Now()
 	t.callWorker(ctx, o.Worker, sched.StartResult{Order: o, Answer: sched.AnswerUnknown}, orderTimeout,
 		func(ctx context.Context, to ports.Target) sched.OrderResult {
-			return ifAllowed(t.deps.Elector.CanOrder, sched.StartResult{Order: o, Answer: sched.AnswerWithdrawn}, func() sched.OrderResult {
+			return ifAllowed(t.canStart, sched.StartResult{Order: o, Answer: sched.AnswerWithdrawn}, func() sched.OrderResult {
 				res := t.deps.Workers.Start(ctx, to, o, t.epoch)
 				res.Latency = time.Since(dispatchedAt)
 				return res
--- a/gate/lead/term.go
+++ b/gate/lead/term.go
@@ -45,6 +45,7 @@
 	appendStartedAt    time.Time
 	loadsLoggedAt      time.Time
 	loop               loopMeter
+	evacuations        evacuationMeter
 }
 
 func newTerm(s *Service, epoch int64) *term {
@@ -98,8 +99,9 @@
 	}
 }
 
-// applyDeclarations passes the operators' current configuration and waves to the scheduler.
+// applyDeclarations passes the operators' current configuration, waves and evacuations to the scheduler.
 func (t *term) applyDeclarations(now time.Time) {
+	t.applyEvacuations(now)
 	if cfg := t.deps.Configs.Config(); cfg != nil {
 		t.scheduler.Configure(now, cfg)
 	}
@@ -117,6 +119,7 @@
 	go t.watchMachines(ctx)
 	ticks := t.deps.Timers.Subscribe(tickPeriod)
 	defer ticks.Close()
+	defer t.evacuations.publish(nil)
 	for {
 		now := time.Now()
 		t.scheduler.Decide(now)
@@ -225,6 +228,7 @@
 	t.logOwnerLoad(now)
 	loads := t.scheduler.PoolLoads(now)
 	publishMetrics(t.scheduler, loads, len(t.heldOrders))
+	t.evacuations.publish(t.scheduler.EvacuationLoads())
 	for _, l := range loads {
 		if l.Running() > 0 || l.Waiting() > 0 {
 			klog.InfoS("pool-load", "pool", l.Pool(), "machines", l.Machines(), "needed", l.Needed(), "usable", l.Schedulable(),
@@ -251,6 +255,7 @@
 }
 
 func (t *term) logDecisions() {
+	t.logEvacuations()
 	for _, d := range t.scheduler.Decisions() {
 		klog.InfoS(d.Event, "task", d.Task, "worker", d.Worker, "why", d.Detail)
 	}
--- a/gate/ports/fleet.go
+++ b/gate/ports/fleet.go
@@ -53,15 +53,22 @@
 	Changes(ctx context.Context, from int64, wait time.Duration) (changes []WorkerChange, next int64, err error)
 }
 
-// Declaration is one record of what operators have declared. It holds a configuration or a wave; the fields of the other are
-// nil.
+// Declaration is one record of what operators have declared. It holds a configuration, a wave or an evacuation; the fields of the others
+// are nil.
 type Declaration struct {
 	Config        *setup.Config
 	EncodedConfig []byte // encoded form of Config, passed on to gates that can't reach the platform
 	Wave          *sched.Wave
+	Evacuation    *Evacuation
 }
 
-// Operators is the platform's store of the operators' configurations and waves.
+// Evacuation is a request to evacuate a data centre, or its withdrawal.
+type Evacuation struct {
+	DataCentre string
+	Withdrawn  bool
+}
+
+// Operators is the platform's store of the operators' configurations, waves and evacuations.
 type Operators interface {
 	// All returns the declarations in force and the offset from which to read changes.
 	All(ctx context.Context) (declared []Declaration, next int64, err error)
