gate/peers: closing all connections takes each one's lock

Cause: the race detector found closeAll reading an outgoing connection while Drop wrote it, when a gate stopped during a query of other gates. Change: closeAll copies the list, then takes each connection's lock.

--- a/gate/peers/network.go
+++ b/gate/peers/network.go
@@ -5,8 +5,10 @@
 	"crypto/tls"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -138,14 +140,18 @@
 
 func (n *Network) closeAll() {
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	for rpc := range n.incoming {
 		_ = rpc.Close()
 	}
-	for _, c := range n.outgoing {
+	outgoing := slices.Collect(maps.Values(n.outgoing))
+	n.mu.Unlock()
+	// A connection's lock is held while it is dialled, for up to dialTimeout.
+	for _, c := range outgoing {
+		c.mu.Lock()
 		if c.conn != nil {
 			_ = c.conn.Close()
 		}
+		c.mu.Unlock()
 	}
 }
 
