gate: a gate that is cut off while others are not isn't ready

Cause: in a data centre that is cut off, gates refused everything but stayed ready until their configuration was 5 s old, and callers came back to them.

After a second without a way to store a job the gate is not ready, refuses at once with Retry-After and closes the connection, unless gates of other data centres say that the log is down for everybody. Entries of the list of gates carry the data centre.

--- a/gate/feed/gate_list.go
+++ b/gate/feed/gate_list.go
@@ -32,8 +32,13 @@
 type gateEntry struct {
 	Address string  `json:"address"`
 	Cores   float64 `json:"processor"` // cores that the gate may use
+	// DataCentre is empty in entries of earlier versions.
+	DataCentre string `json:"data-centre,omitempty"`
 }
 
+// maxDataCentreBytes is the longest name of a data centre in an entry.
+const maxDataCentreBytes = 253
+
 // maxCores is the most that a gate's entry may claim; more would make all other gates count as weak.
 const maxCores = 4096
 
@@ -48,6 +53,9 @@
 	if g.Cores < 0 || g.Cores > maxCores {
 		return gateEntry{}, eris.Errorf("%g cores", g.Cores)
 	}
+	if len(g.DataCentre) > maxDataCentreBytes {
+		return gateEntry{}, eris.Errorf("data centre of %d bytes", len(g.DataCentre))
+	}
 	return g, nil
 }
 
@@ -58,14 +66,16 @@
 	elector *owner.Elector
 	name    string
 	self    gateEntry
+	links   *LinkMonitor // nil if it is not used
 
 	mu    sync.Mutex
 	gates []gateEntry
 }
 
-// NewPeers returns the list of gates other than the named one, empty until Serve. cores is how many this gate may use.
-func NewPeers(log ports.Log, network Network, elector *owner.Elector, name, address string, cores float64) *Peers {
-	return &Peers{log: log, network: network, elector: elector, name: name, self: gateEntry{address, cores}}
+// NewPeers returns the list of gates other than the named one, empty until Serve. dataCentre is where this gate stands, and cores
+// how many it may use.
+func NewPeers(log ports.Log, network Network, elector *owner.Elector, name, address, dataCentre string, cores float64) *Peers {
+	return &Peers{log: log, network: network, elector: elector, name: name, self: gateEntry{Address: address, Cores: cores, DataCentre: dataCentre}}
 }
 
 // Serve registers this gate and refreshes the list until the context ends.
--- a/gate/feed/records_test.go
+++ b/gate/feed/records_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -12,13 +13,16 @@
 // Guards against an odd record in the list of gates: one that claims endless cores made all others count as weak.
 func TestOddGateEntriesAreSkipped(t *testing.T) {
 	for raw, usable := range map[string]bool{
-		`{"address":"10.0.0.1:7000","processor":0.4}`:   true,
-		`{"address":"10.0.0.1:7000","processor":1e300}`: false,
-		`{"address":"10.0.0.1:7000","processor":1e999}`: false,
-		`{"address":"10.0.0.1:7000","processor":-1}`:    false,
-		`{"address":"10.0.0.1:99999","processor":1}`:    false,
-		`{"address":7,"processor":1}`:                   false,
-		`{}`:                                            false, `null`: false, `[`: false, ``: false,
+		`{"address":"10.0.0.1:7000","processor":0.4}`:                                                true,
+		`{"address":"10.0.0.1:7000","processor":1e300}`:                                              false,
+		`{"address":"10.0.0.1:7000","processor":1e999}`:                                              false,
+		`{"address":"10.0.0.1:7000","processor":-1}`:                                                 false,
+		`{"address":"10.0.0.1:99999","processor":1}`:                                                 false,
+		`{"address":7,"processor":1}`:                                                                false,
+		`{"address":"10.0.0.1:7000","processor":1,"data-centre":"north"}`:                            true,
+		`{"address":"10.0.0.1:7000","processor":1,"data-centre":7}`:                                  false,
+		`{"address":"10.0.0.1:7000","processor":1,"data-centre":"` + strings.Repeat("n", 300) + `"}`: false,
+		`{}`: false, `null`: false, `[`: false, ``: false,
 	} {
 		_, err := parseGateEntry([]byte(raw))
 		assert.Equal(t, err == nil, usable, raw)
--- a/gate/feed/sync.go
+++ b/gate/feed/sync.go
@@ -33,6 +33,10 @@
 	Owner   string `json:"owner"`
 	Address string `json:"address"`
 	Epoch   int64  `json:"epoch"`
+	// LogAgeMs is how long ago the log last answered the gate; gates that don't watch it send none.
+	LogAgeMs *int64 `json:"log-age-ms,omitempty"`
+	// LogGapMs is the longest recent time between two answers of the log to the gate.
+	LogGapMs int64 `json:"log-gap-ms,omitempty"`
 }
 
 type fetchResult struct {
@@ -92,8 +96,10 @@
 	return syncMethod, func(context.Context, json.RawMessage) (any, error) {
 		version, age := configs.VersionAndAge()
 		v := p.elector.View()
+		logAge, logGap := p.links.logAgeMs()
 		return syncResult{
 			Version: version, AgeMs: age.Milliseconds(), Owner: v.Name(), Address: v.Address(), Epoch: v.Epoch(),
+			LogAgeMs: logAge, LogGapMs: logGap,
 		}, nil
 	}
 }
--- a/gate/intake/service.go
+++ b/gate/intake/service.go
@@ -64,6 +64,7 @@
 	log        ports.Log
 	// Jobs whose encoded JobAccepted is larger are refused, since no journal can store them.
 	maxJobBytes int
+	cutOff      func() bool // nil for never
 }
 
 // New returns a service that calls the owner, and appends to the log while the owner can't be reached. It refuses jobs whose encoded
@@ -74,7 +75,7 @@
 
 // IsReady reports whether the gate has a configuration that is recent enough to admit calls.
 func (s *Service) IsReady() bool {
-	return s.configs.Config() != nil && s.configs.Age() < maxConfigAge
+	return s.configs.Config() != nil && s.configs.Age() < maxConfigAge && !s.isCutOff()
 }
 
 // Limits returns the limits on what callers may send, all zero if there is no configuration yet.
@@ -121,6 +122,9 @@
 	if !isValidID(rest) {
 		return newRefusal(codes.MalformedRequest, 0)
 	}
+	if s.isCutOff() {
+		return refuseCutOff("submit", rest, c)
+	}
 	spec.ID, spec.Queue, spec.Pool, spec.Team = rest, q.Name, q.Pool, team
 	spec.Priority, spec.MaxAttempts, spec.Slack, spec.TargetMs = q.Priority, q.MaxAttempts, q.SlackFactor, q.TargetLatency.Milliseconds()
 	spec.AcceptedMs, spec.FirstReceivedMs = time.Now().UnixMilli(), c.Received.UnixMilli()
@@ -232,6 +236,9 @@
 	if code != codes.OK {
 		return s.recordRefusal("cancel", id, code)
 	}
+	if s.isCutOff() {
+		return refuseCutOff("cancel", id, c)
+	}
 	ctx, cancel := context.WithDeadline(ctx, answerDeadline(c))
 	defer cancel()
 	started := time.Now()
@@ -257,7 +264,7 @@
 	if code != codes.OK {
 		return s.recordRefusal("state", id, code), false
 	}
-	ctx, cancel := context.WithDeadline(ctx, answerDeadline(c))
+	ctx, cancel := context.WithDeadline(ctx, s.stateDeadline(c))
 	defer cancel()
 	for ctx.Err() == nil {
 		var a lead.Answer
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -32,8 +32,10 @@
 // Options are the gate's settings.
 type Options struct {
 	Name        string
+	DataCentre  string
 	PeerAddress string  // host and port on which other gates connect
 	Processor   float64 // cores that the gate may use
+	WatchCutOff bool    // not ready while this gate is cut off and others are not
 	Scheduler   sched.Options
 }
 
@@ -45,6 +47,7 @@
 	elector  *owner.Elector
 	configs  *feed.Configs
 	peers    *feed.Peers
+	links    *feed.LinkMonitor // nil unless Options.WatchCutOff
 	lead     *lead.Service
 	intake   *intake.Service
 	stopping atomic.Bool
@@ -53,14 +56,20 @@
 // New returns an assembled service. Nothing runs until Serve is called.
 func New(o Options, p Platform) *Node {
 	n := &Node{options: o, timers: &timer.Service{}, network: peers.NewNetwork(o.PeerAddress, nil, &event.Clock{})}
+	if o.WatchCutOff {
+		n.links = feed.NewLinkMonitor()
+		p.Log = n.links.Observe(p.Log)
+	}
 	n.elector = owner.New(p.Log, o.Name, o.PeerAddress, n)
-	n.peers = feed.NewPeers(p.Log, n.network, n.elector, o.Name, o.PeerAddress, o.Processor)
+	n.peers = feed.NewPeers(p.Log, n.network, n.elector, o.Name, o.PeerAddress, o.DataCentre, o.Processor)
 	n.configs = feed.NewConfigs(p.Operators, n.peers)
+	n.links.Connect(n.peers, n.configs)
 	n.lead = lead.New(lead.Deps{
 		Log: p.Log, Workers: p.Workers, Machines: p.Machines, Advisor: p.Advisor, Directory: p.Directory,
 		Operators: p.Operators, Elector: n.elector, Configs: n.configs, Timers: n.timers, Options: o.Scheduler,
 	})
 	n.intake = intake.New(n.lead, n.network, n.elector, n.configs, p.Log, o.Scheduler.MaxJobBytes())
+	n.intake.RefuseWhile(n.links.IsCutOff)
 	n.network.Handle(n.intake.PeerHandler())
 	n.network.Handle(n.peers.SyncHandler(n.configs))
 	n.network.Handle(n.peers.FetchHandler(n.configs))
@@ -74,6 +83,9 @@
 // IsReady reports whether the load balancer may send callers to this gate.
 func (n *Node) IsReady() bool { return !n.stopping.Load() && n.intake.IsReady() }
 
+// IsCutOff reports whether this gate is cut off from the log and the owner while others are not.
+func (n *Node) IsCutOff() bool { return n.links.IsCutOff() }
+
 // IsOwner reports whether this gate owns the scheduler.
 func (n *Node) IsOwner() bool { return n.elector.OwnEpoch() != 0 }
 
@@ -104,6 +116,7 @@
 		{"declarations", n.configs.Follow},
 		{"declarations-of-peers", n.configs.PollPeers},
 		{"gates", n.peers.Serve},
+		{"links", n.links.Serve},
 		{"yield", n.peers.YieldOwnership},
 		{"owner", n.elector.Follow},
 		{"beat", n.elector.SendHeartbeats},
--- a/stand/cloud/gates_test.go
+++ b/stand/cloud/gates_test.go
@@ -47,10 +47,7 @@
 
 // newDeploymentWithCores starts one gate for each number of cores.
 func newDeploymentWithCores(t *testing.T, cores ...float64) *deployment {
-	d := &deployment{
-		t: t, log: NewLog(), workers: NewWorkers(4, "pots", 300*time.Millisecond),
-		operators: NewOperators(testConfig(1, "key-1", "key-2")), gates: map[string]*runningGate{},
-	}
+	d := newEmptyDeployment(t)
 	for i, processor := range cores {
 		d.startGate(fmt.Sprintf("gate-%d", i+1), processor)
 	}
@@ -59,6 +56,14 @@
 	return d
 }
 
+// newEmptyDeployment returns a platform without gates.
+func newEmptyDeployment(t *testing.T) *deployment {
+	return &deployment{
+		t: t, log: NewLog(), workers: NewWorkers(4, "pots", 300*time.Millisecond),
+		operators: NewOperators(testConfig(1, "key-1", "key-2")), gates: map[string]*runningGate{},
+	}
+}
+
 // discoveryTime is how long gates that start together take to discover each other.
 const discoveryTime = 400 * time.Millisecond
 
@@ -70,7 +75,14 @@
 }
 
 func (d *deployment) startGate(name string, processor float64) {
-	n := node.New(node.Options{Name: name, PeerAddress: freeAddress(d.t), Processor: processor}, node.Platform{
+	d.startGateWith(node.Options{Name: name, Processor: processor})
+}
+
+// startGateWith starts a gate with the given options at a free address.
+func (d *deployment) startGateWith(o node.Options) {
+	name := o.Name
+	o.PeerAddress = freeAddress(d.t)
+	n := node.New(o, node.Platform{
 		Log: d.log.View(name), Workers: d.workers, Machines: Machines{}, Advisor: Advisor{},
 		Directory: d.workers, Operators: d.operators.View(name),
 	})
@@ -372,3 +384,61 @@
 	})
 	assert.Assert(t, !d.gates["gate-1"].node.IsReady())
 }
+
+// newWatchingDeployment starts gates in data centres of their own that watch whether they are cut off.
+func newWatchingDeployment(t *testing.T, gates int) *deployment {
+	d := newEmptyDeployment(t)
+	for i := range gates {
+		d.startGateWith(node.Options{Name: fmt.Sprintf("gate-%d", i+1), Processor: 1, DataCentre: fmt.Sprintf("dc-%d", i+1), WatchCutOff: true})
+	}
+	d.waitForOwner()
+	time.Sleep(discoveryTime)
+	return d
+}
+
+// Guards against callers that come back to a gate which can't serve them, and against one that is not used again afterwards.
+func TestGateThatIsCutOffIsNotReadyAndRefusesAtOnce(t *testing.T) {
+	t.Parallel()
+	d := newWatchingDeployment(t, 1)
+	gone := ports.KeyValue{Key: "gate-2", Value: []byte(`{"address":"` + freeAddress(t) + `","processor":1,"data-centre":"dc-2"}`)}
+	assert.NilError(t, d.log.View("gate-2").Put(context.Background(), "gates", gone))
+	gate := d.gates["gate-1"].node
+	time.Sleep(discoveryTime)
+	d.waitUntil("readiness", gate.IsReady)
+	before := d.newID()
+	assert.Equal(t, d.submit("gate-1", before, "key-1").Code(), codes.OK)
+	d.log.SetFault("gate-1", FaultNoResponse)
+	d.waitUntil("the cut", gate.IsCutOff)
+	assert.Assert(t, !gate.IsReady())
+	startedAt, refused := time.Now(), d.newID()
+	reply := d.submit("gate-1", refused, "key-1")
+	assert.Equal(t, reply.Code(), codes.JobStoreAway)
+	assert.Assert(t, reply.RetryAfter() > 0)
+	reply = gate.Intake().Cancel(context.Background(), d.call("/plans/"+before, "key-1"))
+	assert.Equal(t, reply.Code(), codes.JobStoreAway)
+	assert.Assert(t, time.Since(startedAt) < 500*time.Millisecond)
+	d.log.SetFault("gate-1", FaultNone)
+	d.waitUntil("readiness", gate.IsReady)
+	d.assertCompletes(before)
+	assert.Equal(t, d.workers.Starts(sched.TaskID{Job: refused}), 0, "a refused job must never run")
+}
+
+// Guards against gates that turn callers away although no other gate is better off, or although the owner answers them.
+func TestGatesThatAreNotCutOffStayReady(t *testing.T) {
+	for testName, breakLog := range map[string]func(d *deployment){
+		"log down for everybody":   func(d *deployment) { d.log.SetFault("", FaultNoResponse) },
+		"log rejects everybody":    func(d *deployment) { d.log.SetFault("", FaultReject) },
+		"one gate without the log": func(d *deployment) { d.log.SetFault(d.otherThan(d.waitForOwner()), FaultReject) },
+	} {
+		t.Run(testName, func(t *testing.T) {
+			t.Parallel()
+			d := newWatchingDeployment(t, 3)
+			breakLog(d)
+			for start := time.Now(); time.Since(start) < 3*time.Second; time.Sleep(20 * time.Millisecond) {
+				for name, g := range d.gates {
+					assert.Assert(t, g.node.IsReady(), name)
+				}
+			}
+		})
+	}
+}
