--- a/gate/reach/detector_test.go
+++ b/gate/reach/detector_test.go
@@ -132,3 +132,24 @@
 	}
 	assert.Assert(t, cutOff)
 }
+
+// Guards against an owner that keeps its gates ready while it is cut off with them, and against a process that, after a pause, takes
+// answers which wait unread for lost ones.
+func TestCutWithTheOwnerAndPauseDuringSilence(t *testing.T) {
+	for _, pause := range []time.Duration{0, 3 * time.Second} {
+		d := &Detector{}
+		for now := time.Second; now < 2700*ms; now += 50 * ms {
+			d.Tick(now)
+			if now <= 2*time.Second {
+				d.LogAnswered(now)
+				continue
+			}
+			d.PeersQueried(now)
+			d.OwnerAnswered(now, 2*time.Second, SameDataCentre)
+		}
+		for now := 2700*ms + pause; now <= 3*time.Second+pause; now += 50 * ms {
+			d.Tick(now)
+		}
+		assert.Equal(t, d.CutOff(), pause == 0, "pause %s", pause)
+	}
+}
