core/delay: how long a task should wait for room near its data

Cause: tasks that are slow away from their data start there whenever their rack is full; nothing decides whether to wait.

The scheduler doesn't use it yet.

--- a/core/replay/cmd/main.go
+++ b/core/replay/cmd/main.go
@@ -1,9 +1,10 @@
-// Command cmd prints the comparisons of policies for each deployment.
+// Command cmd prints the comparisons of policies for each deployment, and those of waits for a good placement.
 package main
 
 import (
 	"fmt"
 
+	placement "mangowing/core/delay/trial"
 	"mangowing/core/replay"
 	"mangowing/core/sizing/trial"
 )
@@ -23,4 +24,8 @@
 			}
 		}
 	}
+	fmt.Print("## Waits for a good placement\n\n")
+	for _, table := range placement.Tables() {
+		fmt.Println(table)
+	}
 }
