core/sched: tasks wait for their rack while that pays off

Change: a task with a data rack, or of a rack-local step that runs already, is passed over in a placement pass while the wait is expected to end it sooner; what is behind it gets the room. Settings [placement] wait-for-locality and remote-factor (rendered from bounds.remote_factor); without a factor nothing waits. One log line a second, placement-waits, and gauges.

--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -185,6 +185,7 @@
 	lastEndedAt time.Time // when the last attempt ended
 	avoidWorker string    // worker on which the last attempt failed
 	restarts    int       // number of attempts that were stopped as overdue
+	waitsSince  time.Time // since when it waits for its rack although it could start elsewhere, zero if it doesn't
 }
 
 func (t *task) id() TaskID {
--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -15,6 +15,9 @@
 	AllowPoolMoves      bool          // machines may be moved between pools
 	// MachineOrderRate is the platform's limit of machine orders per second.
 	MachineOrderRate float64
+	// RemoteFactor is how many times as long tasks run on another rack than that of their data or their group. Tasks wait for
+	// their rack only if it exceeds 1.
+	RemoteFactor float64
 	// MaxRecordBytes is the largest record that the journal stores.
 	MaxRecordBytes int
 }
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -72,6 +72,9 @@
 			}
 			return started
 		}
+		if sc.waitsForLocality(now, t, w, pass) {
+			continue
+		}
 		sc.startOn(t, w, t.attempts+1)
 		started++
 	}
--- a/core/sched/placement_pass.go
+++ b/core/sched/placement_pass.go
@@ -16,6 +16,7 @@
 	isCrashing bool              // workers of the pool have crashed lately
 	slots      int               // suspects of crashes that may still start, valid if slotsKnown
 	slotsKnown bool
+	locality   localityPass
 }
 
 // isTooLarge reports whether the size is already known to fit on no worker.
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -63,6 +63,7 @@
 	workersWithNewEnds map[*worker]bool
 	decisions          []Decision
 	counters           Counters
+	localityWaits      LocalityWaits
 }
 
 // team tracks the resources that an organisation uses and its rate of new jobs.
--- a/gate/lead/term.go
+++ b/gate/lead/term.go
@@ -44,6 +44,7 @@
 	configChanges      <-chan struct{} // signals a new declaration
 	appendStartedAt    time.Time
 	loadsLoggedAt      time.Time
+	loggedWaits        sched.LocalityWaits
 	loop               loopMeter
 }
 
@@ -225,6 +226,7 @@
 	t.logOwnerLoad(now)
 	loads := t.scheduler.PoolLoads(now)
 	publishMetrics(t.scheduler, loads, len(t.heldOrders))
+	t.logLocalityWaits()
 	for _, l := range loads {
 		if l.Running() > 0 || l.Waiting() > 0 {
 			klog.InfoS("pool-load", "pool", l.Pool(), "machines", l.Machines(), "needed", l.Needed(), "usable", l.Schedulable(),
