gate/intake: a cut-off gate with an old configuration spreads its refusals too

Cause: after 5 s of a cut the configuration is stale, and all callers were told to come back after the same second. Change: the spread of the other refusals of a cut-off gate.

--- a/gate/intake/cut_off.go
+++ b/gate/intake/cut_off.go
@@ -28,7 +28,17 @@
 func refuseCutOff(what, id string, c Call) Reply {
 	recordCall(what, codes.JobStoreAway, c.Received)
 	klog.V(1).InfoS("call-refused", "what", what, "job", id, "code", codes.JobStoreAway.String(), "why", "cut off")
-	return newRefusal(codes.JobStoreAway, cutOffRetryAfter+rand.N(cutOffRetrySpread))
+	return newRefusal(codes.JobStoreAway, spreadRetryAfter())
+}
+
+func spreadRetryAfter() time.Duration { return cutOffRetryAfter + rand.N(cutOffRetrySpread) }
+
+// staleRetryAfter returns when a caller should come back that was refused since the configuration is too old.
+func (s *Service) staleRetryAfter() time.Duration {
+	if s.isCutOff() {
+		return spreadRetryAfter()
+	}
+	return defaultRetryAfter
 }
 
 // stateDeadline returns when a question must be answered.
--- a/gate/intake/service.go
+++ b/gate/intake/service.go
@@ -155,7 +155,7 @@
 	klog.InfoS("call-refused", "what", what, "job", id, "code", code.String(), "config", s.configVersion(),
 		"config-age-ms", s.configs.Age().Milliseconds())
 	if code == codes.ConfigStale {
-		return newRefusal(code, defaultRetryAfter)
+		return newRefusal(code, s.staleRetryAfter())
 	}
 	return newRefusal(code, 0)
 }
