--- a/core/sched/evacuation_test.go
+++ b/core/sched/evacuation_test.go
@@ -273,3 +273,19 @@
 	})
 	assert.DeepEqual(t, b.sc.EvacuationLoads(), []EvacuationLoad{{DataCentre: "nowhere"}})
 }
+
+// Guards against waits for room on a rack whose data centre takes no tasks.
+func TestTasksDontWaitForAnEvacuatedRack(t *testing.T) {
+	b := newRackBench(t, 2, 2, 1)
+	b.sc.options.EvacuationBound = 5 * time.Second
+	e := b.entries["w1-1"]
+	e.DataCentre = "b"
+	b.entries["w1-1"] = e
+	b.listWorkers()
+	b.submit("first", dataStep(4, "r1"))
+	b.answerStarts(AnswerOK)
+	b.advance(900 * time.Millisecond)
+	b.evacuate(1, "b")
+	b.submit("a", dataStep(1, "r1"))
+	assert.Equal(t, len(b.answerStarts(AnswerOK)), 1)
+}
--- a/gate/lead/term.go
+++ b/gate/lead/term.go
@@ -44,6 +44,7 @@
 	configChanges      <-chan struct{} // signals a new declaration
 	appendStartedAt    time.Time
 	loadsLoggedAt      time.Time
+	loggedWaits        sched.LocalityWaits
 	loop               loopMeter
 	evacuations        evacuationMeter
 }
@@ -229,6 +230,7 @@
 	loads := t.scheduler.PoolLoads(now)
 	publishMetrics(t.scheduler, loads, len(t.heldOrders))
 	t.evacuations.publish(t.scheduler.EvacuationLoads())
+	t.logLocalityWaits()
 	for _, l := range loads {
 		if l.Running() > 0 || l.Waiting() > 0 {
 			klog.InfoS("pool-load", "pool", l.Pool(), "machines", l.Machines(), "needed", l.Needed(), "usable", l.Schedulable(),
