--- a/core/sched/locality.go
+++ b/core/sched/locality.go
@@ -159,7 +159,7 @@
 func (sc *Scheduler) localPlaces(now time.Time, pool string, key localityKey) []delay.Place {
 	var places []delay.Place
 	for _, w := range sc.workersByID {
-		if w.entry.Pool == pool && w.listed && !w.entry.Draining && !w.cordoned && !w.surplus && w.hasLabel(key.rack) && w.hasLabel(key.label) &&
+		if w.entry.Pool == pool && w.listed && !w.entry.Draining && !w.cordoned && !w.surplus && !w.evacuated && w.hasLabel(key.rack) && w.hasLabel(key.label) &&
 			key.needs.FitsWithin(w.entry.Capacity) {
 			places = append(places, sc.placesOn(now, w, key.needs)...)
 		}
--- a/core/sched/walk_test.go
+++ b/core/sched/walk_test.go
@@ -25,6 +25,7 @@
 func (w *simulation) checkStart(s *simWorker, o StartTask, sentAt time.Time, spec JobSpec) {
 	copiesAllowed := spec.Steps[o.Task.Step].Speculative
 	w.checkDuplicate(s, o, sentAt, copiesAllowed)
+	w.requests.checkStart(w, s, o)
 	if w.shownStates[o.Task.Job] == StateCompleted && !copiesAllowed {
 		w.reportViolation("task %s of a completed job is started", o.Task)
 	}
@@ -172,8 +173,8 @@
 	}
 }
 
-func runWalk(seed uint64) *simulation {
-	w := newSimulation(seed)
+func runWalk(seed uint64, options Options, requests *simRequests) *simulation {
+	w := newSimulation(seed, options, requests)
 	for range faultySteps {
 		w.injectEvent()
 		w.step()
@@ -190,16 +191,23 @@
 	return w
 }
 
-func TestWalkKeepsEveryPromise(t *testing.T) {
-	seeds, first := defaultSeedCount, 1
-	if n, err := strconv.Atoi(os.Getenv(seedCountEnv)); err == nil {
+// walkSeeds returns the first seed and the one after the last.
+func walkSeeds() (first, end uint64) {
+	seeds := uint64(defaultSeedCount)
+	first = 1
+	if n, err := strconv.ParseUint(os.Getenv(seedCountEnv), 10, 64); err == nil {
 		seeds = n
 	}
-	if n, err := strconv.Atoi(os.Getenv(firstSeedEnv)); err == nil {
+	if n, err := strconv.ParseUint(os.Getenv(firstSeedEnv), 10, 64); err == nil {
 		first = n
 	}
-	for seed := first; seed < first+seeds; seed++ {
-		w := runWalk(uint64(seed))
+	return first, first + seeds
+}
+
+func TestWalkKeepsEveryPromise(t *testing.T) {
+	first, end := walkSeeds()
+	for seed := first; seed < end; seed++ {
+		w := runWalk(seed, Options{}, nil)
 		assert.Equal(t, len(w.violations), 0, "seed %d, %d jobs: %v", seed, len(w.jobs), w.violations)
 	}
 }
