platform, gate/peers: bound the clients of every port

Cause: the limits of the configuration were used for bodies only, bodies were read before the caller was known, and the peer, readiness and metrics ports had no bound. A crowd of clients ended a gate for lack of memory.

Change: each port has a guard (gate/guard) with a share of memory-mb and of the new setting [callers] descriptors. Route, key and the team's rate are checked before the body is read; refusals are 431, 413, 429 and 503, and were not run. Answers that nobody reads, idle connections and headers or bodies without progress end in time. Peers' messages and the number of their requests that are handled at a time are bounded. Steps of a job are decoded one by one, since many empty ones took a hundred times their bytes. Paths and ids from callers are shortened in the log. Counters and a log line a second by reason. make test runs the tests of hostile clients apart from others.

--- a/Makefile
+++ b/Makefile
@@ -19,9 +19,10 @@
 	$(DEPLOY_BUILD)
 
 test: ## run all tests; those on real processes anew each time, since they run programs that the test cache does not know
-	go test -skip TestSoak $$(go list $(PACKAGES) | grep -v stand/prove)
+	go test -skip 'TestSoak|TestHostile' $$(go list $(PACKAGES) | grep -v stand/prove)
 	go test -count=1 ./stand/prove
 	go test -count=1 -run TestSoak ./platform
+	go test -count=1 -run TestHostile ./platform
 
 SEEDS ?= 50
 FIRST ?= 1
--- a/gate/intake/service.go
+++ b/gate/intake/service.go
@@ -39,6 +39,8 @@
 	inboxHedgeDelay    = 250 * time.Millisecond
 	maxInboxAppends    = 3
 	jobIDLength        = 16
+	// Callers may send any text in the place of an id.
+	maxLoggedID = 40
 	// Tasks of one job that may be due at once; each takes some 150 bytes of the owner's memory.
 	maxTasksDue       = 100_000
 	defaultRetryAfter = time.Second
@@ -105,12 +107,25 @@
 	return q, rest, team, codes.OK
 }
 
-// CheckAdmission returns OK if the call would be admitted, otherwise the reason. It is called before the body is read.
+// CheckAdmission returns OK if the call would be admitted, otherwise the reason.
 func (s *Service) CheckAdmission(c Call) codes.Code {
 	_, _, _, code := s.resolveCall(c)
 	return code
 }
 
+// Admit checks the call's route and key before its body is read. It returns the team of the key with its weight in jobs a second, both zero for a
+// queue without keys, or the refusal.
+func (s *Service) Admit(c Call) (team string, weight float64, refusal Reply) {
+	_, rest, team, code := s.resolveCall(c)
+	if code != codes.OK {
+		return "", 0, s.recordRefusal("job", rest, code)
+	}
+	if t, found := s.configs.Config().Team(team); found {
+		weight = t.Weight
+	}
+	return team, weight, Reply{}
+}
+
 // Submit accepts a job. The specification holds what the caller sent; Submit sets the fields that the queue, key and time
 // determine.
 func (s *Service) Submit(ctx context.Context, c Call, spec sched.JobSpec) Reply {
@@ -148,7 +163,7 @@
 
 func (s *Service) recordRefusal(what, id string, code codes.Code) Reply {
 	recordCall(what, code, time.Now())
-	klog.InfoS("call-refused", "what", what, "job", id, "code", code.String(), "config", s.configVersion(),
+	klog.InfoS("call-refused", "what", what, "job", id[:min(len(id), maxLoggedID)], "code", code.String(), "config", s.configVersion(),
 		"config-age-ms", s.configs.Age().Milliseconds())
 	if code == codes.ConfigStale {
 		return newRefusal(code, defaultRetryAfter)
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -12,6 +12,7 @@
 	"mangowing/core/sched"
 	"mangowing/core/timer"
 	"mangowing/gate/feed"
+	"mangowing/gate/guard"
 	"mangowing/gate/intake"
 	"mangowing/gate/lead"
 	"mangowing/gate/owner"
@@ -32,8 +33,9 @@
 // Options are the gate's settings.
 type Options struct {
 	Name        string
-	PeerAddress string  // host and port on which other gates connect
-	Processor   float64 // cores that the gate may use
+	PeerAddress string       // host and port on which other gates connect
+	Processor   float64      // cores that the gate may use
+	PeerGuard   *guard.Guard // bounds what other gates send, nil for no bound
 	Scheduler   sched.Options
 }
 
@@ -53,6 +55,9 @@
 // New returns an assembled service. Nothing runs until Serve is called.
 func New(o Options, p Platform) *Node {
 	n := &Node{options: o, timers: &timer.Service{}, network: peers.NewNetwork(o.PeerAddress, nil, &event.Clock{})}
+	if o.PeerGuard != nil {
+		n.network.Protect(o.PeerGuard)
+	}
 	n.elector = owner.New(p.Log, o.Name, o.PeerAddress, n)
 	n.peers = feed.NewPeers(p.Log, n.network, n.elector, o.Name, o.PeerAddress, o.Processor)
 	n.configs = feed.NewConfigs(p.Operators, n.peers)
--- a/gate/peers/network.go
+++ b/gate/peers/network.go
@@ -17,6 +17,7 @@
 
 	"mangowing/core/codes"
 	"mangowing/core/event"
+	"mangowing/gate/guard"
 )
 
 // ErrRefused means that the address refused the connection, so no process listens there.
@@ -51,6 +52,8 @@
 	outgoing map[string]*outgoingConn
 	incoming map[*jsonrpc2.Conn]bool
 	traffic  traffic
+	guard    *guard.Guard
+	requests requestSlots
 }
 
 type outgoingConn struct {
@@ -69,9 +72,13 @@
 		handlers: map[string]Handler{},
 		outgoing: map[string]*outgoingConn{},
 		incoming: map[*jsonrpc2.Conn]bool{},
+		requests: newRequestSlots(),
 	}
 }
 
+// Protect bounds incoming connections by the guard. It must be called before Serve.
+func (n *Network) Protect(g *guard.Guard) { n.guard = g }
+
 // Handle registers the handler of a method. It must be called before Serve.
 func (n *Network) Handle(method string, h Handler) { n.handlers[method] = h }
 
@@ -102,14 +109,29 @@
 }
 
 func (n *Network) listen() (net.Listener, error) {
+	listener, err := net.Listen("tcp", n.address)
+	if err != nil {
+		return nil, err
+	}
+	if n.guard != nil {
+		listener = n.guard.Listen(listener)
+	}
 	if n.tls != nil {
-		return tls.Listen("tcp", n.address, n.tls)
+		listener = tls.NewListener(listener, n.tls)
 	}
-	return net.Listen("tcp", n.address)
+	return listener, nil
 }
 
 func (n *Network) accept(ctx context.Context, conn net.Conn) {
-	rpc := n.newRPCConn(ctx, n.traffic.wrap(conn))
+	var onReceive []jsonrpc2.ConnOpt
+	inner := conn
+	if encrypted, ok := conn.(*tls.Conn); ok {
+		inner = encrypted.NetConn()
+	}
+	if guarded, ok := inner.(*guard.Conn); ok {
+		onReceive = append(onReceive, jsonrpc2.OnRecv(func(*jsonrpc2.Request, *jsonrpc2.Response) { guarded.FinishMessage() }))
+	}
+	rpc := n.newRPCConn(ctx, n.traffic.wrap(conn), onReceive...)
 	n.mu.Lock()
 	n.incoming[rpc] = true
 	n.mu.Unlock()
@@ -120,10 +142,10 @@
 	})
 }
 
-func (n *Network) newRPCConn(ctx context.Context, conn net.Conn) *jsonrpc2.Conn {
+func (n *Network) newRPCConn(ctx context.Context, conn net.Conn, more ...jsonrpc2.ConnOpt) *jsonrpc2.Conn {
 	stream := jsonrpc2.NewPlainObjectStream(conn)
-	handler := jsonrpc2.AsyncHandler(newRPCHandler(n))
-	return jsonrpc2.NewConn(ctx, stream, handler, withoutLogging(), jsonrpc2.OnSend(n.addTimestamp), jsonrpc2.OnRecv(n.observeMessage))
+	options := append([]jsonrpc2.ConnOpt{withoutLogging(), jsonrpc2.OnSend(n.addTimestamp), jsonrpc2.OnRecv(n.observeMessage)}, more...)
+	return jsonrpc2.NewConn(ctx, stream, newRPCHandler(n), options...)
 }
 
 // connContext returns a context that is cancelled when the connection closes.
@@ -153,8 +175,16 @@
 
 func newRPCHandler(n *Network) jsonrpc2.Handler { return rpcHandler{n} }
 
-// Handle handles one request of another gate.
+// Handle handles one request of another gate in the background. While too many are being handled, it waits.
 func (h rpcHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	release := h.n.requests.acquire(req)
+	go func() {
+		defer release()
+		h.handle(ctx, conn, req)
+	}()
+}
+
+func (h rpcHandler) handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	handle, ok := h.n.handlers[req.Method]
 	if !ok {
 		_ = conn.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method})
