--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -12,6 +12,7 @@
 	"mangowing/core/sched"
 	"mangowing/core/timer"
 	"mangowing/gate/feed"
+	"mangowing/gate/guard"
 	"mangowing/gate/intake"
 	"mangowing/gate/lead"
 	"mangowing/gate/owner"
@@ -33,9 +34,10 @@
 type Options struct {
 	Name        string
 	DataCentre  string
-	PeerAddress string  // host and port on which other gates connect
-	Processor   float64 // cores that the gate may use
-	WatchCutOff bool    // not ready while this gate is cut off and others are not
+	PeerAddress string       // host and port on which other gates connect
+	Processor   float64      // cores that the gate may use
+	WatchCutOff bool         // not ready while this gate is cut off and others are not
+	PeerGuard   *guard.Guard // bounds what other gates send, nil for no bound
 	Scheduler   sched.Options
 }
 
@@ -60,6 +62,9 @@
 		n.links = feed.NewLinkMonitor()
 		p.Log = n.links.Observe(p.Log)
 	}
+	if o.PeerGuard != nil {
+		n.network.Protect(o.PeerGuard)
+	}
 	n.elector = owner.New(p.Log, o.Name, o.PeerAddress, n)
 	n.peers = feed.NewPeers(p.Log, n.network, n.elector, o.Name, o.PeerAddress, o.DataCentre, o.Processor)
 	n.configs = feed.NewConfigs(p.Operators, n.peers)
