core/decl: bounds on files and names, and places of faults by file and line

Cause: a short file of declarations could expand to more names than memory holds (ranges of 100,000 in a list of any length, of any width), a file had no bound, and a fault of the INI text had no line. mango check reads files from anywhere.

--- a/core/decl/compile.go
+++ b/core/decl/compile.go
@@ -45,6 +45,9 @@
 // Key returns the faulty key, empty if the fault concerns the whole section.
 func (f Fault) Key() string { return f.key }
 
+// Text returns what is wrong.
+func (f Fault) Text() string { return f.text }
+
 // String returns the section, the key and what is wrong.
 func (f Fault) String() string {
 	if f.key == "" {
@@ -98,6 +101,7 @@
 type compiler struct {
 	cfg    *Config
 	faults []Fault
+	vms    int // names that pools list
 }
 
 func (c *compiler) addFault(section, key, format string, args ...any) {
@@ -186,13 +190,18 @@
 		if err != nil {
 			return nil, err
 		}
-		out = append(out, names...)
+		if out = append(out, names...); len(out) > maxRangeLength {
+			return nil, fmt.Errorf("more than %d names", maxRangeLength)
+		}
 	}
 	return out, nil
 }
 
 func expandRange(item string) ([]string, error) {
 	opening := strings.IndexByte(item, '[')
+	if len(item) > maxNameBytes {
+		return nil, fmt.Errorf("%s: expected at most %d bytes", QuoteValue(item), maxNameBytes)
+	}
 	if opening < 0 {
 		return []string{item}, nil
 	}
--- a/core/decl/ini.go
+++ b/core/decl/ini.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"slices"
@@ -25,25 +26,80 @@
 	slices.Sort(paths)
 	var out []record.Object
 	for _, path := range paths {
-		data, err := os.ReadFile(path)
+		data, err := readBounded(path)
 		if err != nil {
 			return nil, err
 		}
 		objects, err := ReadINI(data)
 		if err != nil {
-			return nil, fmt.Errorf("%s: %w", path, err)
+			return nil, newSyntaxError(path, data, err)
 		}
 		out = append(out, objects...)
 	}
 	return out, checkUniqueSections(out)
 }
 
+// maxFileBytes bounds a file of declarations; a thousand teams take about 200,000 bytes.
+const maxFileBytes = 4 << 20
+
+func readBounded(path string) ([]byte, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	data, err := io.ReadAll(io.LimitReader(file, maxFileBytes+1))
+	if err == nil && len(data) > maxFileBytes {
+		err = fmt.Errorf("%s: more than %d bytes", path, maxFileBytes)
+	}
+	return data, err
+}
+
+// SyntaxError reports a file that is no INI text. Line is 0 if it isn't known.
+type SyntaxError struct {
+	Path string
+	Line int
+	err  error
+}
+
+// newSyntaxError finds the line by the text that the INI reader quotes at the end of its message.
+func newSyntaxError(path string, data []byte, err error) *SyntaxError {
+	fault := &SyntaxError{Path: path, err: err}
+	_, quoted, isQuoted := strings.Cut(err.Error(), ": ")
+	if quoted = strings.TrimSpace(quoted); !isQuoted || quoted == "" {
+		return fault
+	}
+	n := 0
+	for line := range strings.Lines(string(data)) {
+		n++
+		if strings.TrimSpace(line) == quoted {
+			fault.Line = n
+			break
+		}
+	}
+	return fault
+}
+
+// Error returns the path and what is wrong.
+func (e *SyntaxError) Error() string { return fmt.Sprintf("%s: %v", e.Path, e.err) }
+
+// Unwrap returns what is wrong.
+func (e *SyntaxError) Unwrap() error { return e.err }
+
+// DuplicateError reports a section that is declared twice.
+type DuplicateError struct {
+	Section string // kind and name
+}
+
+// Error returns the section and what is wrong.
+func (e *DuplicateError) Error() string { return fmt.Sprintf("[%s]: declared twice", e.Section) }
+
 func checkUniqueSections(objects []record.Object) error {
 	seen := map[string]bool{}
 	for _, o := range objects {
 		section := o.Kind() + " " + o.Name()
 		if seen[section] {
-			return fmt.Errorf("[%s]: declared twice", section)
+			return &DuplicateError{section}
 		}
 		seen[section] = true
 	}
--- a/core/decl/section_reader.go
+++ b/core/decl/section_reader.go
@@ -9,8 +9,15 @@
 	"mangowing/core/record"
 )
 
-// maxRangeLength limits the number of names that one range expands to.
-const maxRangeLength = 100_000
+// Limits on names and their number, so that a short file can't expand to more than memory holds. maxRangeLength applies to a
+// range and to a list.
+const (
+	maxRangeLength = 100_000
+	// A name is at most as long as an item of a list.
+	maxNameBytes = 256
+	// Names of VMs in all pools together.
+	maxVMs = 1_000_000
+)
 
 // sectionReader reads typed values from one section and records which keys were read, so that the others can be reported.
 type sectionReader struct {
@@ -214,7 +221,12 @@
 }
 
 func (r *sectionReader) readPool(name string) Pool {
-	return Pool{name: name, vms: r.names("vms"), minServing: r.intAtLeast("min-serving", 0, 0)}
+	vms := r.names("vms")
+	if r.compiler.vms += len(vms); r.compiler.vms > maxVMs {
+		r.compiler.addFault(r.section, "vms", "more than %d VMs in all pools", maxVMs)
+		vms = nil
+	}
+	return Pool{name: name, vms: vms, minServing: r.intAtLeast("min-serving", 0, 0)}
 }
 
 func (r *sectionReader) readQueue(name string) Queue {
