--- a/core/lint/change_test.go
+++ b/core/lint/change_test.go
@@ -59,6 +59,15 @@
 		{"a limit to none", func(c *Configuration) { c.Teams[0].Limit.CPU = 0 }, []string{`loosened limit of team "floor" in thousandths of a core: 4000 to none`}},
 		{"a longer timeout", func(c *Configuration) { c.Queues[0].Timeout *= 2 }, []string{`loosened duration of a call of queue "plans": 1s to 2s`}},
 		{"a policy service", func(c *Configuration) { c.Queues[0].Advice.Validity = time.Second }, []string{`altered policy service of queue "plans": none to calls of 0s and 0s a worker, tickets for 1s`}},
+		{"a queue under another name", func(c *Configuration) { c.Queues[1].Name = "offers" }, []string{`redirected calls of "h/quotes/" go to queue "offers" instead of "quotes"`}},
+		{"a queue added", func(c *Configuration) {
+			c.Queues = append(c.Queues, Queue{Queue: setup.Queue{Name: "new", Host: "g", Prefix: "/new/", Pool: "p"}})
+		}, []string{`added calls of "g/new/" are accepted by queue "new"`}},
+		{"no key needed", func(c *Configuration) { c.Queues[1].KeyOptional = true }, []string{`loosened calls of "h/quotes/" need no key`}},
+		{"a team added", func(c *Configuration) {
+			c.Teams = append(c.Teams, Team{Team: setup.Team{Name: "new", Keys: []string{"k4"}}})
+		}, []string{`added a key of team "new" is accepted`, `added team "new"`}},
+		{"a pool removed", func(c *Configuration) { c.Pools = c.Pools[:1] }, []string{`removed pool "q"`}},
 		{
 			"all at once", func(c *Configuration) {
 				c.Pools = append(c.Pools, Pool{Pool: setup.Pool{Name: "r"}})
