core/admit: first version of admission against a timeline of capacity

Cause: new jobs were checked against the cores of all machines that a pool could reach, as if they were there already.

Change: with [admission] timeline = yes a job is accepted if its pool can do it by its deadline with what is there by then and not promised to others, or while it is of use behind all that is promised. Work in time is placed in order of its latest start where a pool has no room for all of it.

--- /dev/null
+++ b/core/sched/admission.go
@@ -0,0 +1,159 @@
+package sched
+
+import (
+	"time"
+
+	"mangowing/core/admit"
+	"mangowing/core/setup"
+)
+
+// longestRetryAfter bounds the time after which a refused client is asked to come back. Clients give up after some seconds, and by then
+// the plan of the machines has changed.
+const longestRetryAfter = 5 * time.Second
+
+// checkAdmission reports whether a new job must be refused, and why.
+func (sc *Scheduler) checkAdmission(now time.Time, spec *JobSpec) (Refusal, bool) {
+	if !sc.options.AdmissionTimeline {
+		return sc.checkOverload(spec)
+	}
+	r, offer := sc.checkTimeline(spec)
+	refused := offer == admit.Refused
+	sc.counters.offers[offer][r.cause]++
+	if spec.OverShare || spec.IsLongRunning() || spec.IsTimed() {
+		return r, refused
+	}
+	if _, isRetry := sc.admission.refused[spec.ID]; !isRetry {
+		sc.measureTeam(now, spec)
+	}
+	if refused {
+		sc.returnShare(spec)
+		sc.recordRefusedWork(now, spec, r.cause)
+	}
+	return r, refused
+}
+
+// checkTimeline returns what a new job is offered by the timelines of its pool and of its team's resource limit, and why if it is refused.
+// The capacity that an accepted job needs is promised to it at once.
+func (sc *Scheduler) checkTimeline(spec *JobSpec) (Refusal, admit.Offer) {
+	if spec.IsLongRunning() || spec.IsTimed() {
+		return Refusal{}, admit.OfferedInTime
+	}
+	if r, refused := sc.checkStrain(spec); refused {
+		return r, admit.Refused
+	}
+	demand, pool := sc.demand[spec.Pool], sc.admission.pools[spec.Pool]
+	if demand == nil || demand.reachableCores <= 0 || pool == nil {
+		return Refusal{}, admit.OfferedInTime
+	}
+	job := admissionJob(spec, setup.Resources.Cores)
+	offer := pool.Offer(job)
+	team, teamJob := sc.teamTimeline(spec.Team), admit.Job{}
+	if team != nil && offer != admit.Refused {
+		teamJob = admissionJob(spec, coresWithoutGPUs)
+		if limited := team.Offer(teamJob); limited != admit.OfferedInTime {
+			offer = limited
+		}
+	}
+	switch {
+	case offer != admit.Refused:
+		pool.Accept(job, offer)
+		if team != nil {
+			team.Accept(teamJob, offer)
+		}
+		return Refusal{}, offer
+	case spec.OverShare:
+		return newTimelineRefusal(spec, pool, job, shareExceeded), admit.Refused
+	case team != nil && pool.Offer(job) != admit.Refused:
+		return newTimelineRefusal(spec, team, teamJob, teamLimitExceeded), admit.Refused
+	default:
+		return newTimelineRefusal(spec, pool, job, poolOverloaded), admit.Refused
+	}
+}
+
+// checkStrain refuses jobs that the scheduler process has no CPU time for.
+func (sc *Scheduler) checkStrain(spec *JobSpec) (Refusal, bool) {
+	strain := sc.CallLatency()
+	if strain >= exhaustedLatency || spec.OverShare && strain >= starvedLatency {
+		return Refusal{retryAfter: retryJitterRange + retryJitter(spec.ID), cause: schedulerOverloaded}, true
+	}
+	if strain < starvedLatency || sc.throughput.rate <= 0 {
+		return Refusal{}, false
+	}
+	maxOnTimeWait, maxUsefulWait := allowedWait(spec)
+	r := Refusal{cause: schedulerOverloaded, workAhead: sc.urgentWork(maxOnTimeWait), workRate: sc.throughput.rate}
+	r.retryAfter = max(r.waitTime(), retryJitterRange) + retryJitter(spec.ID)
+	return r, r.waitTime() > max(maxOnTimeWait, maxUsefulWait)
+}
+
+// newTimelineRefusal returns the refusal of a job that the timeline can't promise anything to. The client should come back when the job
+// is expected to fit by its deadline; the spread of the answers keeps clients from coming back together.
+func newTimelineRefusal(spec *JobSpec, t *admit.Timeline, job admit.Job, cause refusalCause) Refusal {
+	expected, found := t.ExpectedIn(job, longestRetryAfter)
+	if !found {
+		expected = longestRetryAfter
+	}
+	return Refusal{
+		retryAfter: expected + retryJitter(spec.ID), expectedIn: expected, cause: cause,
+		workAhead: t.Promised(admit.InTime), workRate: t.CoresAt(0),
+	}
+}
+
+// returnShare gives back what a refused job took of its team's rate of new jobs: it will ask again.
+func (sc *Scheduler) returnShare(spec *JobSpec) {
+	if t, declared := sc.cfg.Team(spec.Team); declared && t.Weight > 0 {
+		sc.ensureTeam(spec.Team).share.tokens++
+	}
+}
+
+// measureTeam records the work of a new job as an arrival of its team if that has a resource limit.
+func (sc *Scheduler) measureTeam(now time.Time, spec *JobSpec) {
+	if sc.limitCores(spec.Team) == 0 {
+		return
+	}
+	if sc.admission.arrivals == nil {
+		sc.admission.arrivals = map[string]*arrivalMeter{}
+	}
+	meter := sc.admission.arrivals[spec.Team]
+	if meter == nil {
+		meter = &arrivalMeter{}
+		sc.admission.arrivals[spec.Team] = meter
+	}
+	_, coreSeconds := spec.Work()
+	meter.add(now, coreSeconds)
+}
+
+// recordRefusedWork records the work of a job that its pool had no room for as an arrival there, so that machines are moved for demand
+// that isn't accepted yet. Its retries are not recorded again.
+func (sc *Scheduler) recordRefusedWork(now time.Time, spec *JobSpec, cause refusalCause) {
+	if _, isRetry := sc.admission.refused[spec.ID]; isRetry {
+		return
+	}
+	if sc.admission.refused == nil {
+		sc.admission.refused = map[string]refusedJob{}
+	}
+	sc.admission.refused[spec.ID] = refusedJob{now, cause == poolOverloaded}
+	if cause == poolOverloaded {
+		sc.surges.recordArrival(now, spec.Pool, spec.nearWork())
+	}
+}
+
+// admissionJob returns what a new job asks for.
+func admissionJob(spec *JobSpec, coresOf func(setup.Resources) float64) admit.Job {
+	maxOnTimeWait, maxUsefulWait := allowedWait(spec)
+	criticalPath := (&job{spec: spec}).criticalPath(allSteps)
+	a := admit.Job{Deadline: maxOnTimeWait + criticalPath, UsefulFor: maxUsefulWait + criticalPath, OverShare: spec.OverShare}
+	if !spec.OverShare {
+		a.Deadline -= startMargin(spec, criticalPath)
+	}
+	before := timesBefore(spec, nil)
+	ends := make([]time.Duration, len(spec.Steps))
+	for n := range spec.Steps {
+		step := &spec.Steps[n]
+		after := step.waitFor(ends, n)
+		ends[n] = after + step.Estimate()
+		a.Steps = append(a.Steps, admit.Step{
+			Cores: float64(step.Count) * coresOf(step.Reservation()), Estimate: step.Estimate(), After: after, Before: before[n],
+		})
+	}
+	return a
+}
--- a/core/sched/intake.go
+++ b/core/sched/intake.go
@@ -30,7 +30,7 @@
 		return Duplicate, Refusal{}
 	}
 	spec.OverShare = sc.exceedsShare(now, &spec)
-	if r, refused := sc.checkOverload(&spec); refused {
+	if r, refused := sc.checkAdmission(now, &spec); refused {
 		return Overloaded, r
 	}
 	sc.acceptJob(now, spec)
@@ -59,7 +59,7 @@
 	if j.cancelled {
 		sc.markEnded(j, now)
 	}
-	if j.isOpen() && !spec.OverShare && !spec.IsLongRunning() {
+	if j.isOpen() && !spec.OverShare && !spec.IsLongRunning() && !sc.admission.refused[spec.ID].isArrival {
 		sc.surges.recordArrival(now, sc.currentPool(j), spec.nearWork())
 	}
 	return j
--- a/core/sched/machine_orders.go
+++ b/core/sched/machine_orders.go
@@ -36,7 +36,7 @@
 			continue
 		}
 		if !m.confirmedAt.IsZero() && m.targetPool != "" {
-			m.entry.Pool = m.targetPool
+			m.entry.Pool, m.movedAt = m.targetPool, now
 		}
 		if m.maintenanceWave != 0 {
 			if w != nil {
--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -27,6 +27,7 @@
 	orderedAt       time.Time    // when the last order was sent, zero if none is open
 	confirmedAt     time.Time    // when the answer confirmed the order, which may have taken effect earlier
 	backoffUntil    time.Time    // it refused an order; no new one until then
+	movedAt         time.Time    // when its last move ended
 }
 
 // hasOrderInFlight reports whether an order to the machine may not be complete yet.
@@ -99,6 +100,7 @@
 	sc.finishMachineOrders(now, byMachine)
 	demand := sc.measureDemand(now, byMachine)
 	sc.demand = demand
+	defer sc.planAdmission(now, byMachine, demand)
 	if sc.lastMachineList.IsZero() {
 		return
 	}
--- a/core/sched/moves.go
+++ b/core/sched/moves.go
@@ -31,7 +31,7 @@
 func (sc *Scheduler) markSurplusWorkers(standby string, demand map[string]*poolDemand, anyPoolShort bool) {
 	for _, name := range sc.cfg.Pools() {
 		d := demand[name]
-		spare := d.machines - int(math.Ceil(float64(d.needed)*releaseFactor)) - len(d.idleWorkers)
+		spare := d.machines - sc.machinesToKeep(d) - len(d.idleWorkers)
 		if name == standby || !anyPoolShort {
 			spare = 0
 		}
@@ -45,6 +45,15 @@
 	}
 }
 
+// machinesToKeep returns how many machines a pool keeps while another is short. Late work gets no margin: it holds no machine that work in
+// time wants elsewhere.
+func (sc *Scheduler) machinesToKeep(d *poolDemand) int {
+	if sc.options.AdmissionTimeline {
+		return max(d.needed, int(math.Ceil(float64(min(d.needed, d.neededWithForecast))*releaseFactor)))
+	}
+	return int(math.Ceil(float64(d.needed) * releaseFactor))
+}
+
 // freeableWorkers returns the pool's busy workers without long-running tasks, the least loaded first. Idle ones are included if
 // they are already marked as surplus.
 func (sc *Scheduler) freeableWorkers(pool string) []*worker {
--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -13,6 +13,7 @@
 	MigrationDuration   time.Duration // how long a machine is away when it moves
 	StopTimeout         time.Duration // longest time that a worker takes to stop a task
 	AllowPoolMoves      bool          // machines may be moved between pools
+	AdmissionTimeline   bool          // new jobs are checked against a timeline of capacity
 	// MachineOrderRate is the platform's limit of machine orders per second.
 	MachineOrderRate float64
 	// MaxRecordBytes is the largest record that the journal stores.
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -3,8 +3,15 @@
 import "time"
 
 // placeClass places the candidates of one class by weighted fair sharing: the team with the fewest running cores for its
-// weight places a step next.
+// weight places a step next. Where jobs are accepted against a timeline, work that can be in time is placed in order of its latest start,
+// as it was promised; the teams' shares were part of the promise.
 func (sc *Scheduler) placeClass(now time.Time, p *pool, class []candidate, pass *placementPass) {
+	if sc.options.AdmissionTimeline && !pass.hasRoomFor(class) && class[0].outlook < late && !class[0].step.spec.LongRunning {
+		for len(class) > 0 {
+			class = sc.placeFirst(now, class, pass)
+		}
+		return
+	}
 	byTeam := map[string][]candidate{}
 	for _, c := range class {
 		team := c.step.job().spec.Team
--- a/core/sched/placement_pass.go
+++ b/core/sched/placement_pass.go
@@ -41,6 +41,18 @@
 	return pass
 }
 
+// hasRoomFor reports whether the workers have enough free cores for all waiting tasks of the candidates.
+func (p *placementPass) hasRoomFor(class []candidate) bool {
+	room := 0.0
+	for _, w := range p.workers {
+		room += w.free().Cores()
+	}
+	for _, c := range class {
+		room -= float64(c.step.waitingTasks) * c.step.spec.Reservation().Cores()
+	}
+	return room >= 0
+}
+
 // minNeeds returns, for each resource separately, the least that a waiting task of the pool needs.
 func (p *pool) minNeeds() setup.Resources {
 	var smallest setup.Resources
--- a/core/sched/queueing.go
+++ b/core/sched/queueing.go
@@ -17,11 +17,15 @@
 type deadlineOutlook uint8
 
 const (
-	onTime deadlineOutlook = iota
-	atRisk                 // only if the estimates are not too low
-	late                   // no longer, or the job exceeds its team's share
+	onTime  deadlineOutlook = iota
+	atRisk                  // only if the estimates are not too low
+	late                    // no longer, or the job exceeds its team's share
+	ofNoUse                 // so late that it is of no use to its client
 )
 
+// timedRoundFactor is by how much a round of a timed job may take longer than its critical path.
+const timedRoundFactor = 2
+
 const (
 	// A job that has not started is on time only if it has some slack beyond its estimates: this share of what remains,
 	// plus stepMargin for each step. Without the margin, the jobs that have waited longest in a backlog would be started
@@ -89,16 +93,18 @@
 	}
 	deadline, _ := j.deadline()
 	if j.spec.IsTimed() {
-		deadline = j.spec.RoundDue(s.round.number).Add(j.criticalPath(allSteps) * 2)
+		deadline = j.spec.RoundDue(s.round.number).Add(j.criticalPath(allSteps) * timedRoundFactor)
 	}
 	remaining := s.remainingCriticalPath()
 	latest := deadline.Add(-remaining)
 	c := candidate{step: s, latestStart: latest}
 	margin := time.Duration(0)
 	if !j.started {
-		margin = time.Duration(estimateMargin*float64(remaining)) + time.Duration(len(j.spec.Steps))*stepMargin
+		margin = startMargin(j.spec, remaining)
 	}
 	switch {
+	case sc.options.AdmissionTimeline && now.After(latest) && s.round.isOfNoUse(now):
+		c.outlook = ofNoUse
 	case j.spec.OverShare || now.After(latest):
 		c.outlook = late
 	case now.After(latest.Add(-margin)):
@@ -107,12 +113,23 @@
 	return c
 }
 
+// startMargin returns how much earlier than its latest start a job has to start, given the estimated time that remains then.
+func startMargin(spec *JobSpec, remaining time.Duration) time.Duration {
+	return time.Duration(estimateMargin*float64(remaining)) + time.Duration(len(spec.Steps))*stepMargin
+}
+
+// isOfNoUse reports whether the round can no longer be done while it is of use.
+func (r *round) isOfNoUse(now time.Time) bool {
+	_, usefulUntil := r.job.limits(r)
+	return now.After(usefulUntil)
+}
+
 // remainingCriticalPath returns the estimated time of the longest chain of steps that are not done.
 func (s *step) remainingCriticalPath() time.Duration {
 	return s.job().criticalPath(func(n int) bool { return !s.round.steps[n].isDone() })
 }
 
-// rankOf returns the rank of the candidate's class: long-running steps first, then those on time, at risk and late, each
+// rankOf returns the rank of the candidate's class: long-running steps first, then those on time, at risk, late and of no use, each
 // by priority.
 func rankOf(c candidate) int {
 	const outlookRanks = 1000
--- a/core/sched/refusal.go
+++ b/core/sched/refusal.go
@@ -24,6 +24,7 @@
 	cause      refusalCause
 	workAhead  float64 // core-seconds
 	workRate   float64 // core-seconds per second
+	expectedIn time.Duration
 }
 
 // RetryAfter returns the time after which the client may submit the job again.
@@ -38,6 +39,9 @@
 // WorkRate returns the core-seconds of work that are done per second, 0 if the refusal doesn't depend on them.
 func (r Refusal) WorkRate() float64 { return r.workRate }
 
+// ExpectedIn returns when capacity for the job is expected, 0 if the refusal doesn't depend on it.
+func (r Refusal) ExpectedIn() time.Duration { return r.expectedIn }
+
 // waitTime returns how long the work ahead takes, 0 if its rate is unknown.
 func (r Refusal) waitTime() time.Duration {
 	if r.workRate <= 0 {
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -55,6 +55,7 @@
 	orderLimiter      orderLimiter
 	demand            map[string]*poolDemand
 	teamLoads         map[string]*teamLoad
+	admission         admissionPlan
 
 	// Output that has not been taken yet.
 	batch              Batch
--- a/gate/lead/answers.go
+++ b/gate/lead/answers.go
@@ -65,7 +65,8 @@
 	if result == sched.Overloaded {
 		klog.InfoS("job-refused", "job", c.spec.ID, "queue", c.spec.Queue, "team", c.spec.Team, "why", refusal.Cause(),
 			"pool", c.spec.Pool, "ahead-core-seconds", int(refusal.WorkAhead()), "done-in-a-second", int(refusal.WorkRate()),
-			"strain-ms", t.scheduler.CallLatency().Milliseconds(), "retry-after-ms", refusal.RetryAfter().Milliseconds())
+			"strain-ms", t.scheduler.CallLatency().Milliseconds(), "expected-ms", refusal.ExpectedIn().Milliseconds(),
+			"retry-after-ms", refusal.RetryAfter().Milliseconds())
 		c.reply <- NewRefusal(codes.JobPoolFull, refusal.RetryAfter())
 		return
 	}
--- a/gate/lead/meters.go
+++ b/gate/lead/meters.go
@@ -18,6 +18,7 @@
 	metricJobs        = "mangowing_owner_jobs_total"
 	metricAttempts    = "mangowing_attempts_total"
 	metricPoolGauge   = "mangowing_pool"
+	metricOffers      = "mangowing_offers_total"
 	metricHeldOrders  = "mangowing_held_orders"
 	metricStrain      = "mangowing_owner_strain_seconds"
 	metricWorkerCalls = "mangowing_worker_calls_total"
@@ -51,6 +52,9 @@
 	for outcome := sched.AttemptDone; outcome <= sched.AttemptOrphaned; outcome++ {
 		setGauge(metricAttempts, fmt.Sprintf("{what=%q}", outcome), float64(counters.Ended(outcome)))
 	}
+	counters.Offers(func(result, cause string, count uint64) {
+		setGauge(metricOffers, fmt.Sprintf("{result=%q,cause=%q}", result, cause), float64(count))
+	})
 	for _, l := range loads {
 		for what, value := range map[string]float64{
 			"machines": float64(l.Machines()), "needed": float64(l.Needed()), "usable": float64(l.Schedulable()),
@@ -65,6 +69,16 @@
 	setGauge(metricStrain, "", sc.CallLatency().Seconds())
 }
 
+// publishPromise sets the gauges for what is promised of a pool.
+func publishPromise(p sched.PoolPromise) {
+	for what, value := range map[string]float64{
+		"usable-cores": p.UsableCoresIn(0), "usable-cores-in-1s": p.UsableCoresIn(time.Second), "usable-cores-in-3s": p.UsableCoresIn(3 * time.Second),
+		"promised-in-time": p.InTime(), "promised-late": p.Late(),
+	} {
+		setGauge(metricPoolGauge, fmt.Sprintf("{pool=%q,what=%q}", p.Pool(), what), value)
+	}
+}
+
 func setGauge(name, labels string, value float64) {
 	metrics.GetOrCreateGauge(name+labels, nil).Set(value)
 }
--- a/gate/lead/term.go
+++ b/gate/lead/term.go
@@ -233,6 +233,22 @@
 				"suspects", l.Suspects())
 		}
 	}
+	t.logPoolPromises(loads)
+}
+
+// logPoolPromises logs and publishes what is promised of the capacity of each pool in use.
+func (t *term) logPoolPromises(loads []sched.PoolLoad) {
+	inUse := map[string]bool{}
+	for _, l := range loads {
+		inUse[l.Pool()] = l.Running() > 0 || l.Waiting() > 0
+	}
+	for _, p := range t.scheduler.PoolPromises() {
+		publishPromise(p)
+		if inUse[p.Pool()] {
+			klog.InfoS("pool-promise", "pool", p.Pool(), "usable-cores", int(p.UsableCoresIn(0)), "in-1s", int(p.UsableCoresIn(time.Second)),
+				"in-3s", int(p.UsableCoresIn(3*time.Second)), "promised-in-time", int(p.InTime()), "promised-late", int(p.Late()))
+		}
+	}
 }
 
 // logOwnerLoad logs the owner's own load. It shows whether CPU time, the log or a missing right to send orders is the
