core/sched: timelines from an owner's first answers, shares of inbox jobs

Cause: a new owner accepted everything until it planned the machines, 400 ms after its first list of workers, just when clients that had waited came back. Jobs from the inbox did not count against their team's rate, so that a flood during an outage went before ordinary work.

Change: until then the timelines are derived from the workers that have answered. A job from the inbox above its team's rate at the time of its acceptance is late work. Both only with the timeline.

--- a/core/admit/timeline.go
+++ b/core/admit/timeline.go
@@ -9,6 +9,7 @@
 	promised [2][slotCount]float64 // core-seconds by class and by the slot in which they are due
 	expected float64               // cores of work that is expected to arrive and to be accepted in time
 
+	hasCores  bool
 	isCurrent bool
 	cores     [slotCount]float64 // usable cores in each slot
 	supply    [slotCount]float64 // core-seconds that can be done by the end of each slot
@@ -30,6 +31,7 @@
 
 // AddCores adds cores that can be used from the given time on.
 func (t *Timeline) AddCores(cores float64, from time.Duration) {
+	t.hasCores = t.hasCores || cores > 0
 	slot, passed := slotAt(from)
 	t.change[slot] += cores * (1 - passed)
 	if slot+1 < slotCount {
@@ -65,6 +67,9 @@
 	return t.cores[slot]
 }
 
+// HasCores reports whether the timeline has any capacity, in use or not.
+func (t *Timeline) HasCores() bool { return t.hasCores }
+
 // Promised returns the core-seconds that accepted jobs of the class still need.
 func (t *Timeline) Promised(c Class) float64 {
 	sum := 0.0
--- a/core/sched/admission.go
+++ b/core/sched/admission.go
@@ -41,8 +41,8 @@
 	if r, refused := sc.checkStrain(spec); refused {
 		return r, admit.Refused
 	}
-	demand, pool := sc.demand[spec.Pool], sc.admission.pools[spec.Pool]
-	if demand == nil || demand.reachableCores <= 0 || pool == nil {
+	pool := sc.admission.pools[spec.Pool]
+	if pool == nil || !sc.hasCapacity(spec.Pool) {
 		return Refusal{}, admit.OfferedInTime
 	}
 	job := admissionJob(spec, setup.Resources.Cores)
@@ -70,6 +70,15 @@
 	}
 }
 
+// hasCapacity reports whether the pool has workers that have answered or can get machines. One that has neither accepts everything: its
+// workers may be about to be listed.
+func (sc *Scheduler) hasCapacity(pool string) bool {
+	if d := sc.demand[pool]; d != nil {
+		return d.reachableCores > 0
+	}
+	return sc.demand == nil && sc.admission.pools[pool].HasCores()
+}
+
 // checkStrain refuses jobs that the scheduler process has no CPU time for.
 func (sc *Scheduler) checkStrain(spec *JobSpec) (Refusal, bool) {
 	strain := sc.CallLatency()
--- a/core/sched/admission_harness_test.go
+++ b/core/sched/admission_harness_test.go
@@ -1,11 +1,13 @@
 package sched
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"mangowing/core/setup"
@@ -178,12 +180,9 @@
 	}
 	b.sc.ApplyResult(b.now, res)
 	for _, e := range ended {
-		if j := b.sc.jobs[e.Task.Job]; j != nil && j.finalState == StateCompleted {
-			for _, l := range b.jobs {
-				if l.spec.ID == e.Task.Job && l.done.IsZero() {
-					l.done = b.now
-				}
-			}
+		n, err := strconv.ParseInt(e.Task.Job, 16, 64)
+		if j := b.sc.jobs[e.Task.Job]; j != nil && j.finalState == StateCompleted && err == nil && int(n) < len(b.jobs) {
+			b.jobs[n].done = cmp.Or(b.jobs[n].done, b.now)
 		}
 	}
 }
--- a/core/sched/admission_test.go
+++ b/core/sched/admission_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -57,6 +58,7 @@
 			b.surge(1, 6*time.Second)
 			b.run(3 * time.Second)
 			b.takeOver()
+			b.offer(300*time.Millisecond, "a", 2, 300, shortSteps)
 			b.run(3 * time.Second)
 		}},
 		{"half of the machines in maintenance", 0, func(b *loadBench) {
@@ -70,6 +72,17 @@
 			b.surge(0, 6*time.Second)
 			b.run(6 * time.Second)
 		}},
+		{"a flood through the inbox", 0, func(b *loadBench) {
+			for i := range 1500 {
+				at := b.now.Add(time.Duration(i-1500) * time.Millisecond).UnixMilli()
+				name := fmt.Sprintf("pool-%d", i%loadPools)
+				b.sc.AcceptFromInbox(b.now, JobSpec{
+					ID: fmt.Sprintf("f%015x", i), Queue: name, Pool: name, Team: "hot", Steps: shortSteps(), MaxAttempts: 2, Slack: 1.6,
+					TargetMs: 600, AcceptedMs: at, FirstReceivedMs: at,
+				})
+			}
+			b.run(6 * time.Second)
+		}},
 	}
 	teams := []setup.Team{{Name: "a", Weight: 100}, {Name: "b", Weight: 100}, {Name: "hot", Weight: 2}, {Name: "hot-too", Weight: 0.5}}
 	for _, s := range scenarios {
--- a/core/sched/capacity.go
+++ b/core/sched/capacity.go
@@ -12,6 +12,9 @@
 // A worker takes tasks once it has been listed and polled.
 const firstPollDelay = 200 * time.Millisecond
 
+// Until a new owner plans the machines, the timelines are derived this often, since more workers answer all the time.
+const firstAdmissionPeriod = 20 * time.Millisecond
+
 // admissionPlan has the timelines against which new jobs are checked. They are derived from the scheduler's state at each plan of the
 // machines.
 type admissionPlan struct {
@@ -31,6 +34,19 @@
 // refusedJobRetention is for how long the retries of a refused job are not recorded as further arrivals of work.
 const refusedJobRetention = 10 * time.Second
 
+// planFirstAdmission derives the timelines while a new owner doesn't plan the machines yet: from the workers that have answered, and without
+// the machines under way. Clients that waited for an owner come back all at once.
+func (sc *Scheduler) planFirstAdmission(now time.Time) {
+	if !sc.options.AdmissionTimeline || sc.demand != nil || sc.firstWorkerList.IsZero() || now.Sub(sc.admission.plannedAt) < firstAdmissionPeriod {
+		return
+	}
+	declared := map[string]*poolDemand{}
+	for _, name := range sc.cfg.Pools() {
+		declared[name] = nil
+	}
+	sc.planAdmission(now, nil, declared)
+}
+
 // planAdmission derives the timelines from what is up, under way, running and accepted.
 func (sc *Scheduler) planAdmission(now time.Time, byMachine map[string]*worker, demand map[string]*poolDemand) {
 	if !sc.options.AdmissionTimeline {
@@ -51,7 +67,7 @@
 	for _, w := range sc.workersByID {
 		sc.addWorkerCapacity(now, w)
 	}
-	if !sc.lastMachineList.IsZero() && sc.options.AllowPoolMoves {
+	if sc.demand != nil && !sc.lastMachineList.IsZero() && sc.options.AllowPoolMoves {
 		sc.addComingMachines(now, byMachine, demand)
 	}
 	sc.addLimits()
--- a/core/sched/intake.go
+++ b/core/sched/intake.go
@@ -41,6 +41,10 @@
 func (sc *Scheduler) AcceptFromInbox(now time.Time, spec JobSpec) {
 	j, known := sc.jobs[spec.ID]
 	if !known {
+		if sc.options.AdmissionTimeline {
+			// It is late work if its team was above its share when it was stored.
+			spec.OverShare = sc.exceedsShare(time.UnixMilli(min(spec.AcceptedMs, now.UnixMilli())), &spec)
+		}
 		j = sc.acceptJob(now, spec)
 	}
 	j.stored = true
--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -91,6 +91,7 @@
 
 // planMachines measures demand, then sends the maintenance and move orders that are due.
 func (sc *Scheduler) planMachines(now time.Time) {
+	sc.planFirstAdmission(now)
 	if now.Sub(sc.lastMachinePlan) < machinePlanPeriod || sc.firstWorkerList.IsZero() || sc.cfg.Version() == 0 || now.Sub(sc.firstWorkerList) < takeoverGracePeriod {
 		return
 	}
