gate/intake: bound of what gates store without the owner

Cause: gates that could not reach the owner appended accepted jobs to the inbox without any bound, and floods during outages lost thousands of jobs that the owner never got through.

Change: with [admission] inbox-bound = yes the owner's answers carry what one gate may store of each pool, from the pool's capacity and the number of gates. What exceeds it is answered 503 with Retry-After before anything is appended, or 504 if an earlier attempt may have been stored. A gate without a recent figure uses a small default.

--- a/core/sched/pool_promise.go
+++ b/core/sched/pool_promise.go
@@ -34,3 +34,12 @@
 	}
 	return promises
 }
+
+// BatchCores returns by pool how many cores its machines have for work that isn't long-running, those on the way included.
+func (sc *Scheduler) BatchCores() map[string]float64 {
+	cores := make(map[string]float64, len(sc.demand))
+	for name, d := range sc.demand {
+		cores[name] = max(0, d.batchCores(d.machines))
+	}
+	return cores
+}
--- a/gate/feed/gate_list.go
+++ b/gate/feed/gate_list.go
@@ -126,6 +126,13 @@
 	return true
 }
 
+// Count returns the number of gates that are known, this one included.
+func (p *Peers) Count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.gates) + 1
+}
+
 // queryAddresses returns the addresses of some randomly chosen gates and of the owner, unless that is this gate.
 func (p *Peers) queryAddresses() []string {
 	var all []string
--- a/gate/intake/peer_requests.go
+++ b/gate/intake/peer_requests.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"mangowing/core/admit"
 	"mangowing/core/codes"
 	"mangowing/core/sched"
 	"mangowing/gate/lead"
@@ -28,13 +29,16 @@
 	Record []byte      `json:"record,omitempty"`
 	ID     string      `json:"id,omitempty"`
 	Queue  string      `json:"queue,omitempty"`
+	// WantsAllowances asks for what the gate may store in the inbox.
+	WantsAllowances bool `json:"wants-allowances,omitempty"`
 }
 
 type response struct {
-	Code    uint16 `json:"code,omitempty"`
-	AfterMs int64  `json:"after-ms,omitempty"`
-	State   uint8  `json:"state,omitempty"`
-	Count   int    `json:"count,omitempty"`
+	Code       uint16                     `json:"code,omitempty"`
+	AfterMs    int64                      `json:"after-ms,omitempty"`
+	State      uint8                      `json:"state,omitempty"`
+	Count      int                        `json:"count,omitempty"`
+	Allowances map[string]admit.Allowance `json:"allowances,omitempty"` // by pool
 }
 
 func (r response) answer() lead.Answer {
@@ -54,7 +58,11 @@
 		if err != nil {
 			return nil, err
 		}
-		return response{uint16(a.Code()), a.RetryAfter().Milliseconds(), uint8(a.State()), a.Count()}, nil
+		answer := response{Code: uint16(a.Code()), AfterMs: a.RetryAfter().Milliseconds(), State: uint8(a.State()), Count: a.Count()}
+		if r.WantsAllowances {
+			answer.Allowances = s.localOwner.InboxAllowances()
+		}
+		return answer, nil
 	}
 }
 
--- a/gate/intake/service.go
+++ b/gate/intake/service.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
+	"mangowing/core/admit"
 	"mangowing/core/codes"
 	"mangowing/core/sched"
 	"mangowing/core/setup"
@@ -53,6 +54,7 @@
 	Cancel(ctx context.Context, id string) lead.Answer
 	State(ctx context.Context, id string) lead.Answer
 	Pending(ctx context.Context, queue string) lead.Answer
+	InboxAllowances() map[string]admit.Allowance
 }
 
 // Service serves callers.
@@ -64,6 +66,7 @@
 	log        ports.Log
 	// Jobs whose encoded JobAccepted is larger are refused, since no journal can store them.
 	maxJobBytes int
+	inboxBound  *inboxBound // nil for none
 }
 
 // New returns a service that calls the owner, and appends to the log while the owner can't be reached. It refuses jobs whose encoded
@@ -72,6 +75,9 @@
 	return &Service{localOwner: localOwner, network: network, elector: elector, configs: configs, log: log, maxJobBytes: maxJobBytes}
 }
 
+// BoundInbox bounds what this gate stores in the inbox by what the owner allows. Call it before the service is used.
+func (s *Service) BoundInbox() { s.inboxBound = &inboxBound{} }
+
 // IsReady reports whether the gate has a configuration that is recent enough to admit calls.
 func (s *Service) IsReady() bool {
 	return s.configs.Config() != nil && s.configs.Age() < maxConfigAge
@@ -193,6 +199,19 @@
 		}
 		timer.Sleep(ctx, retryPause)
 	}
+	return s.storeWithoutOwner(ctx, &spec, record, outcomeUnknown)
+}
+
+// storeWithoutOwner appends the job to the inbox if the bound leaves room for it. Otherwise nothing is sent.
+func (s *Service) storeWithoutOwner(ctx context.Context, spec *sched.JobSpec, record []byte, outcomeUnknown bool) Reply {
+	if retryAfter, taken := s.inboxBound.take(time.Now(), spec); !taken {
+		klog.InfoS("job-refused", "job", spec.ID, "queue", spec.Queue, "team", spec.Team, "why", "inbox-full", "pool", spec.Pool,
+			"retry-after-ms", retryAfter.Milliseconds(), "unknown", outcomeUnknown)
+		if outcomeUnknown {
+			return newRefusal(codes.JobUnsettled, 0)
+		}
+		return newRefusal(codes.JobStoreAway, retryAfter)
+	}
 	return s.appendToInbox(ctx, record, spec.ID, outcomeUnknown)
 }
 
@@ -280,7 +299,11 @@
 func (s *Service) callOwner(ctx context.Context, r request, local func(context.Context) lead.Answer) lead.Answer {
 	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
 	defer cancel()
+	r.WantsAllowances = s.inboxBound.isDue(time.Now())
 	if s.elector.OwnEpoch() != 0 {
+		if r.WantsAllowances {
+			s.inboxBound.update(time.Now(), s.localOwner.InboxAllowances())
+		}
 		return local(ctx)
 	}
 	address := s.elector.View().Address()
@@ -293,6 +316,7 @@
 	switch {
 	case err == nil:
 		s.elector.RecordCallResult(address, true)
+		s.inboxBound.update(time.Now(), result.Allowances)
 		return result.answer()
 	case errors.Is(err, peers.ErrRefused):
 		s.elector.RecordCallResult(address, false)
--- a/gate/lead/service.go
+++ b/gate/lead/service.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"mangowing/core/admit"
 	"mangowing/core/codes"
 	"mangowing/core/sched"
 	"mangowing/core/timer"
@@ -31,12 +33,15 @@
 	Configs   *feed.Configs
 	Timers    *timer.Service
 	Options   sched.Options
+	// CountGates returns the number of gates that are known, this one included.
+	CountGates func() int
 }
 
 // Service runs the scheduler while its gate is the owner.
 type Service struct {
-	deps  Deps
-	calls chan call
+	deps       Deps
+	calls      chan call
+	allowances atomic.Pointer[map[string]admit.Allowance] // nil unless this gate is the owner
 }
 
 // New returns a service. It does nothing until Serve is called.
@@ -62,6 +67,7 @@
 	defer cancel()
 	klog.InfoS("ownership-begins", "epoch", epoch)
 	t := newTerm(s, epoch)
+	defer s.allowances.Store(nil)
 	if err := t.takeOver(ctx); err != nil {
 		klog.InfoS("takeover-failed", "epoch", epoch, "error", err.Error())
 		s.deps.Elector.EndOwnership("takeover failed: " + err.Error())
@@ -113,6 +119,15 @@
 	return s.callOwner(ctx, func(reply chan<- Answer) call { return stateCall{id, reply} })
 }
 
+// InboxAllowances returns by pool what one gate may store in the inbox while it can't reach this gate as the owner, nil if this gate isn't
+// the owner.
+func (s *Service) InboxAllowances() map[string]admit.Allowance {
+	if a := s.allowances.Load(); a != nil {
+		return *a
+	}
+	return nil
+}
+
 // Pending returns how many jobs of a queue have not been started, from the scheduler on this gate.
 func (s *Service) Pending(ctx context.Context, queue string) Answer {
 	return s.callOwner(ctx, func(reply chan<- Answer) call { return pendingCall{queue, reply} })
--- a/gate/lead/term.go
+++ b/gate/lead/term.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"mangowing/core/admit"
 	"mangowing/core/sched"
 	"mangowing/core/timer"
 	"mangowing/gate/ports"
@@ -234,6 +235,16 @@
 		}
 	}
 	t.logPoolPromises(loads)
+	t.publishAllowances()
+}
+
+// publishAllowances sets what each gate may store in the inbox while it can't reach this one.
+func (t *term) publishAllowances() {
+	allowances := map[string]admit.Allowance{}
+	for pool, cores := range t.scheduler.BatchCores() {
+		allowances[pool] = admit.AllowanceOf(cores, t.deps.CountGates())
+	}
+	t.allowances.Store(&allowances)
 }
 
 // logPoolPromises logs and publishes what is promised of the capacity of each pool in use.
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -35,6 +35,7 @@
 	PeerAddress string  // host and port on which other gates connect
 	Processor   float64 // cores that the gate may use
 	Scheduler   sched.Options
+	InboxBound  bool // what gates store without the owner is bounded
 }
 
 // Node is the job service of one gate.
@@ -59,8 +60,12 @@
 	n.lead = lead.New(lead.Deps{
 		Log: p.Log, Workers: p.Workers, Machines: p.Machines, Advisor: p.Advisor, Directory: p.Directory,
 		Operators: p.Operators, Elector: n.elector, Configs: n.configs, Timers: n.timers, Options: o.Scheduler,
+		CountGates: n.peers.Count,
 	})
 	n.intake = intake.New(n.lead, n.network, n.elector, n.configs, p.Log, o.Scheduler.MaxJobBytes())
+	if o.InboxBound {
+		n.intake.BoundInbox()
+	}
 	n.network.Handle(n.intake.PeerHandler())
 	n.network.Handle(n.peers.SyncHandler(n.configs))
 	n.network.Handle(n.peers.FetchHandler(n.configs))
