core/admit: expected ends of tasks without an estimate

Cause: a running task with an estimate of a few milliseconds counted as one that runs for ever after seven times that, and so took its cores from the timeline.

Change: less than a slot counts as a slot.

--- a/core/admit/run.go
+++ b/core/admit/run.go
@@ -33,8 +33,10 @@
 	}
 }
 
+// end returns when the tasks have ended, from their start on. Starts and ends take some time to be known, so that less than a slot is
+// no estimate.
 func (e endShare) end(estimate time.Duration) time.Duration {
-	return time.Duration(e.factor * float64(estimate))
+	return time.Duration(e.factor * float64(max(estimate, SlotTime)))
 }
 
 // ExpectedEnd returns in what time a task that has run for the given time of its estimate is expected to have ended, with its usual
--- a/core/admit/timeline_test.go
+++ b/core/admit/timeline_test.go
@@ -34,6 +34,7 @@
 		{"machines arrive when it is of no use", func(t *Timeline) { t.AddCores(10, 11*second) }, false, Refused},
 		{"a long task holds the cores", func(t *Timeline) { t.AddCores(10, 0); t.AddRun(10, 1400*time.Millisecond, second) }, false, OfferedLate},
 		{"a task that is about to end", func(t *Timeline) { t.AddCores(10, 0); t.AddRun(10, 900*time.Millisecond, second) }, false, OfferedInTime},
+		{"a task without an estimate", func(t *Timeline) { t.AddCores(10, 0); t.AddRun(10, 100*time.Millisecond, 0) }, false, OfferedInTime},
 		{"work in time is promised before", func(t *Timeline) { t.AddCores(10, 0); t.Promise(InTime, 25, 4*second) }, false, OfferedLate},
 		{"work in time is due later", func(t *Timeline) { t.AddCores(10, 0); t.Promise(InTime, 50, 8*second) }, false, OfferedInTime},
 		{"promised work would be late because of it", func(t *Timeline) { t.AddCores(10, 0); t.Promise(InTime, 70, 8*second) }, false, OfferedLate},
