--- a/core/sched/intake.go
+++ b/core/sched/intake.go
@@ -33,7 +33,7 @@
 		return Overloaded, r
 	}
 	spec.OverShare = sc.exceedsShare(now, &spec)
-	if r, refused := sc.checkOverload(&spec); refused {
+	if r, refused := sc.checkAdmission(now, &spec); refused {
 		return Overloaded, r
 	}
 	sc.acceptJob(now, spec)
@@ -44,6 +44,10 @@
 func (sc *Scheduler) AcceptFromInbox(now time.Time, spec JobSpec) {
 	j, known := sc.jobs[spec.ID]
 	if !known {
+		if sc.options.AdmissionTimeline {
+			// It is late work if its team was above its share when it was stored.
+			spec.OverShare = sc.exceedsShare(time.UnixMilli(min(spec.AcceptedMs, now.UnixMilli())), &spec)
+		}
 		j = sc.acceptJob(now, spec)
 	}
 	j.stored = true
@@ -62,7 +66,7 @@
 	if j.cancelled {
 		sc.markEnded(j, now)
 	}
-	if j.isOpen() && !spec.OverShare && !spec.IsLongRunning() {
+	if j.isOpen() && !spec.OverShare && !spec.IsLongRunning() && !sc.admission.refused[spec.ID].isArrival {
 		sc.surges.recordArrival(now, sc.currentPool(j), spec.nearWork())
 	}
 	return j
--- a/core/sched/machines.go
+++ b/core/sched/machines.go
@@ -27,6 +27,7 @@
 	orderedAt       time.Time    // when the last order was sent, zero if none is open
 	confirmedAt     time.Time    // when the answer confirmed the order, which may have taken effect earlier
 	backoffUntil    time.Time    // it refused an order; no new one until then
+	movedAt         time.Time    // when its last move ended
 }
 
 // hasOrderInFlight reports whether an order to the machine may not be complete yet.
@@ -90,6 +91,7 @@
 
 // planMachines measures demand, then sends the maintenance and move orders that are due.
 func (sc *Scheduler) planMachines(now time.Time) {
+	sc.planFirstAdmission(now)
 	if now.Sub(sc.lastMachinePlan) < machinePlanPeriod || sc.firstWorkerList.IsZero() || sc.cfg.Version() == 0 || now.Sub(sc.firstWorkerList) < takeoverGracePeriod {
 		return
 	}
@@ -99,6 +101,7 @@
 	sc.finishMachineOrders(now, byMachine)
 	demand := sc.measureDemand(now, byMachine)
 	sc.demand = demand
+	defer sc.planAdmission(now, byMachine, demand)
 	if sc.lastMachineList.IsZero() {
 		return
 	}
--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -14,6 +14,7 @@
 	StopTimeout         time.Duration // longest time that a worker takes to stop a task
 	AllowPoolMoves      bool          // machines may be moved between pools
 	EvacuationBound     time.Duration // time within which the last task starts in an evacuated data centre; 0 if evacuations are not acted on
+	AdmissionTimeline   bool          // new jobs are checked against a timeline of capacity
 	// MachineOrderRate is the platform's limit of machine orders per second.
 	MachineOrderRate float64
 	// RemoteFactor is how many times as long tasks run on another rack than that of their data or their group. Tasks wait for
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -39,6 +39,7 @@
 	WatchCutOff bool         // not ready while this gate is cut off and others are not
 	PeerGuard   *guard.Guard // bounds what other gates send, nil for no bound
 	Scheduler   sched.Options
+	InboxBound  bool // what gates store without the owner is bounded
 }
 
 // Node is the job service of one gate.
@@ -72,9 +73,13 @@
 	n.lead = lead.New(lead.Deps{
 		Log: p.Log, Workers: p.Workers, Machines: p.Machines, Advisor: p.Advisor, Directory: p.Directory,
 		Operators: p.Operators, Elector: n.elector, Configs: n.configs, Timers: n.timers, Options: o.Scheduler,
+		CountGates: n.peers.Count,
 	})
 	n.intake = intake.New(n.lead, n.network, n.elector, n.configs, p.Log, o.Scheduler.MaxJobBytes())
 	n.intake.RefuseWhile(n.links.IsCutOff)
+	if o.InboxBound {
+		n.intake.BoundInbox()
+	}
 	n.network.Handle(n.intake.PeerHandler())
 	n.network.Handle(n.peers.SyncHandler(n.configs))
 	n.network.Handle(n.peers.FetchHandler(n.configs))
