--- a/gate/lead/journal.go
+++ b/gate/lead/journal.go
@@ -143,7 +143,7 @@
 		page, err := Hedged(ctx, hedgeDelay, maxHedgedTries, func(ctx context.Context) (ports.Page, error) {
 			ctx, cancel := context.WithTimeout(ctx, readTimeout)
 			defer cancel()
-			return log.Read(ctx, topic, from, 0)
+			return log.Read(ctx, topic, 0, from, 0)
 		})
 		if err == nil || errors.Is(err, ports.ErrTrimmed) || ctx.Err() != nil {
 			return page, err
@@ -194,7 +194,7 @@
 		klog.InfoS("snapshot-not-marked", "offset", offset, "error", err.Error())
 		return
 	}
-	if err := j.log.Trim(ctx, journalTopic, offset); err != nil {
+	if err := j.log.Trim(ctx, journalTopic, 0, offset); err != nil {
 		klog.InfoS("journal-not-trimmed", "offset", offset, "error", err.Error())
 	}
 	klog.InfoS("snapshot-marked", "offset", offset)
--- a/gate/lead/journal_test.go
+++ b/gate/lead/journal_test.go
@@ -52,7 +52,7 @@
 }
 
 // Read returns one record of the journal, and fails if the offset is out of range.
-func (l *emptyLog) Read(_ context.Context, _ string, from int64, _ time.Duration) (ports.Page, error) {
+func (l *emptyLog) Read(_ context.Context, _ string, _ int, from int64, _ time.Duration) (ports.Page, error) {
 	if from != 0 {
 		return ports.Page{}, ports.ErrInvalid
 	}
--- a/gate/lead/watch.go
+++ b/gate/lead/watch.go
@@ -171,7 +171,7 @@
 	ctx, cancel := context.WithTimeout(ctx, inboxReadWait+directoryTimeout)
 	defer cancel()
 	requestedAt := time.Now()
-	page, err := t.deps.Log.Read(ctx, inboxTopic, from, wait)
+	page, err := t.deps.Log.Read(ctx, inboxTopic, 0, from, wait)
 	if len(page.Records) == 0 && time.Since(requestedAt) >= wait {
 		// The log returns an empty page only after the wait, so the page reflects that time.
 		requestedAt = requestedAt.Add(wait)
--- a/gate/owner/elector.go
+++ b/gate/owner/elector.go
@@ -237,7 +237,7 @@
 	e.mu.Unlock()
 	readCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	page, err := e.log.Read(readCtx, topic, from, wait)
+	page, err := e.log.Read(readCtx, topic, 0, from, wait)
 	if errors.Is(err, ports.ErrTrimmed) {
 		e.mu.Lock()
 		e.nextOffset, e.missedAt = page.OldestOffset, timer.SinceBoot()
--- a/gate/ports/log.go
+++ b/gate/ports/log.go
@@ -28,9 +28,11 @@
 // AnyEnd as Append.ExpectedEnd appends wherever the partition ends.
 const AnyEnd = -1
 
-// Append is a call that appends records to the first partition of a topic, either all or none.
+// Append is a call that appends records to a partition of a topic, either all or none. Epochs and sequence numbers of a producer apply
+// to one partition.
 type Append struct {
 	Topic       string
+	Partition   int
 	Records     [][]byte
 	ExpectedEnd int64  // offset at which the partition must end, AnyEnd for no condition
 	Producer    string // empty for none
@@ -55,17 +57,17 @@
 	Value []byte
 }
 
-// Log is the platform's log. Only the first partition of each topic is used.
+// Log is the platform's log. The partitions of a topic are numbered from 0 and may fail individually. Keyed topics use partition 0.
 type Log interface {
 	// Append returns the offset of the first record. The error wraps ErrFenced, ErrEndMismatch, ErrSequence, ErrRejected,
 	// ErrInvalid or ErrOutcomeUnknown.
 	Append(ctx context.Context, a Append) (offset int64, err error)
-	// Read returns the records from an offset on, waiting for the first one if there is none. The page is empty if none
+	// Read returns the records of a partition from an offset on, waiting for the first one if there is none. The page is empty if none
 	// arrives in that time. The error wraps ErrTrimmed, ErrRejected or ErrOutcomeUnknown; with ErrTrimmed the page has
 	// OldestOffset set.
-	Read(ctx context.Context, topic string, from int64, wait time.Duration) (Page, error)
-	// Trim deletes the records before the offset.
-	Trim(ctx context.Context, topic string, before int64) error
+	Read(ctx context.Context, topic string, partition int, from int64, wait time.Duration) (Page, error)
+	// Trim deletes a partition's records before the offset.
+	Trim(ctx context.Context, topic string, partition int, before int64) error
 	// Put sets the value of a key in a keyed topic.
 	Put(ctx context.Context, topic string, e KeyValue) error
 	// Newest returns the newest value of each key of a keyed topic.
--- a/stand/cloud/log.go
+++ b/stand/cloud/log.go
@@ -23,7 +23,7 @@
 // Log keeps topics in memory. Each gate calls it through a view of its own.
 type Log struct {
 	mu      sync.Mutex
-	topics  map[string]*logTopic
+	topics  map[partitionKey]*logTopic
 	keyed   map[string]map[string][]byte
 	faults  map[string]Fault // by gate; "" stands for all
 	delays  map[delayKey]time.Duration
@@ -36,6 +36,12 @@
 	topic string
 }
 
+type partitionKey struct {
+	topic     string
+	partition int
+}
+
+// logTopic is a partition of a topic.
 type logTopic struct {
 	oldestOffset int64
 	records      [][]byte
@@ -53,7 +59,7 @@
 // NewLog returns an empty log.
 func NewLog() *Log {
 	return &Log{
-		topics: map[string]*logTopic{}, keyed: map[string]map[string][]byte{}, faults: map[string]Fault{}, delays: map[delayKey]time.Duration{},
+		topics: map[partitionKey]*logTopic{}, keyed: map[string]map[string][]byte{}, faults: map[string]Fault{}, delays: map[delayKey]time.Duration{},
 		changed: make(chan struct{}),
 	}
 }
@@ -131,7 +137,7 @@
 func (l *Log) append(a ports.Append) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t := l.topicNamed(a.Topic)
+	t := l.partition(a.Topic, a.Partition)
 	if a.ExpectedEnd != ports.AnyEnd && a.ExpectedEnd != t.endOffset() {
 		return 0, ports.ErrEndMismatch
 	}
@@ -164,17 +170,18 @@
 	return 0, false, nil
 }
 
-func (l *Log) topicNamed(name string) *logTopic {
-	t, found := l.topics[name]
+func (l *Log) partition(topic string, partition int) *logTopic {
+	key := partitionKey{topic, partition}
+	t, found := l.topics[key]
 	if !found {
 		t = &logTopic{producers: map[string]*producerState{}}
-		l.topics[name] = t
+		l.topics[key] = t
 	}
 	return t
 }
 
-// Read returns the records from an offset on, waiting for the first one if there is none.
-func (v logView) Read(ctx context.Context, name string, from int64, wait time.Duration) (ports.Page, error) {
+// Read returns the records of a partition from an offset on, waiting for the first one if there is none.
+func (v logView) Read(ctx context.Context, name string, partition int, from int64, wait time.Duration) (ports.Page, error) {
 	timer.Sleep(ctx, v.log.delayOf(v.gate, name))
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
@@ -182,7 +189,7 @@
 		if err := v.applyFault(ctx); err != nil {
 			return ports.Page{}, err
 		}
-		page, changed, err := v.log.readPage(name, from)
+		page, changed, err := v.log.readPage(name, partition, from)
 		if err != nil || len(page.Records) > 0 || wait == 0 {
 			return page, err
 		}
@@ -196,10 +203,10 @@
 	}
 }
 
-func (l *Log) readPage(name string, from int64) (ports.Page, <-chan struct{}, error) {
+func (l *Log) readPage(name string, partition int, from int64) (ports.Page, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t := l.topicNamed(name)
+	t := l.partition(name, partition)
 	page := ports.Page{StartOffset: from, OldestOffset: t.oldestOffset, EndOffset: t.endOffset()}
 	if from < t.oldestOffset {
 		return page, l.changed, ports.ErrTrimmed
@@ -210,14 +217,14 @@
 	return page, l.changed, nil
 }
 
-// Trim deletes the records before the offset.
-func (v logView) Trim(ctx context.Context, name string, before int64) error {
+// Trim deletes a partition's records before the offset.
+func (v logView) Trim(ctx context.Context, name string, partition int, before int64) error {
 	if err := v.applyFault(ctx); err != nil {
 		return err
 	}
 	v.log.mu.Lock()
 	defer v.log.mu.Unlock()
-	t := v.log.topicNamed(name)
+	t := v.log.partition(name, partition)
 	if n := min(before, t.endOffset()) - t.oldestOffset; n > 0 {
 		t.records, t.oldestOffset = t.records[n:], t.oldestOffset+n
 	}
