--- a/gate/lead/journal_test.go
+++ b/gate/lead/journal_test.go
@@ -11,6 +11,7 @@
 
 	"mangowing/core/sched"
 	"mangowing/gate/ports"
+	"mangowing/gate/segs"
 )
 
 // invalidatingLog takes every append with a record for invalid.
@@ -32,9 +33,11 @@
 func TestAppendThatTheLogTakesForInvalidIsNotRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := &invalidatingLog{}
-		j := &journal{log: log, epoch: 1}
-		assert.NilError(t, j.fence(t.Context()))
-		_, err := j.append(t.Context(), [][]byte{[]byte("record")})
+		j := newJournal(log, &fakeOwner{}, 1, 0)
+		_, err := j.fence(t.Context(), segs.Segment{})
+		assert.NilError(t, err)
+		assert.NilError(t, j.writer.Fenced())
+		_, err = j.append(t.Context(), [][]byte{[]byte("record")})
 		assert.Assert(t, errors.Is(err, ports.ErrInvalid), "%v", err)
 		assert.Equal(t, log.appends, 2)
 	})
@@ -46,6 +49,9 @@
 	mark string
 }
 
+// Append returns the end of the journal.
+func (l *emptyLog) Append(context.Context, ports.Append) (int64, error) { return 1, nil }
+
 // Newest returns the mark.
 func (l *emptyLog) Newest(context.Context, string) ([]ports.KeyValue, error) {
 	return []ports.KeyValue{{Key: snapshotMark, Value: []byte(l.mark)}}, nil
@@ -62,8 +68,8 @@
 // Guards against a mark that names no offset of the journal, so that nothing was replayed.
 func TestOddSnapshotMarkIsIgnored(t *testing.T) {
 	for _, mark := range []string{"0", "-7", "99", "1e999", "soon", ""} {
-		j := &journal{log: &emptyLog{mark: mark}, endOffset: 1}
-		size, err := j.replay(t.Context(), sched.New(sched.Options{}))
+		j := newJournal(&emptyLog{mark: mark}, &fakeOwner{}, 1, 0)
+		_, size, err := j.takeOver(t.Context(), sched.New(sched.Options{}))
 		assert.NilError(t, err)
 		assert.Equal(t, size, len("record"), "mark %q", mark)
 	}
--- a/gate/lead/meters.go
+++ b/gate/lead/meters.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
 
 	"mangowing/core/sched"
+	"mangowing/gate/segs"
 )
 
 // Names of the owner's metrics. docs/OPERATIONS.md lists their units and meanings.
@@ -21,6 +23,9 @@
 	metricHeldOrders  = "mangowing_held_orders"
 	metricStrain      = "mangowing_owner_strain_seconds"
 	metricWorkerCalls = "mangowing_worker_calls_total"
+	metricSwitches    = "mangowing_journal_switches_total"
+	metricPartition   = "mangowing_journal_partition"
+	metricStalled     = "mangowing_journal_stalled_seconds"
 )
 
 // recordTakeover counts a takeover and records how long its phases took.
@@ -35,6 +40,17 @@
 	metrics.GetOrCreateHistogram(metricAppend).Update(took.Seconds())
 }
 
+// recordSwitch logs and counts a switch of the journal, and how long nothing was stored.
+func recordSwitch(r switchResult, stalled time.Duration, snapshotBytes int) {
+	klog.InfoS("journal-switched", "segment", r.segment.Number, "from", r.from, "to", r.segment.Partition, "reason", r.reason,
+		"stalled-ms", stalled.Milliseconds(), "snapshot-bytes", snapshotBytes, "attempts", r.attempts)
+	metrics.GetOrCreateCounter(fmt.Sprintf("%s{reason=%q}", metricSwitches, r.reason)).Inc()
+	metrics.GetOrCreateHistogram(metricStalled).Update(stalled.Seconds())
+	publishSegment(r.segment)
+}
+
+func publishSegment(s segs.Segment) { setGauge(metricPartition, "", float64(s.Partition)) }
+
 func countJob(outcome string) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("%s{outcome=%q}", metricJobs, outcome)).Inc()
 }
--- /dev/null
+++ b/gate/lead/segments_test.go
@@ -0,0 +1,115 @@
+package lead
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangowing/core/sched"
+	"mangowing/gate/owner"
+	"mangowing/gate/ports"
+	"mangowing/gate/segs"
+)
+
+// fakeOwner is the elector of an owner whose commits end as given.
+type fakeOwner struct {
+	segment   segs.Segment
+	known     bool
+	epoch     int64
+	commitEnd error
+}
+
+func (o *fakeOwner) Segment() (segs.Segment, bool)       { return o.segment, o.known }
+func (o *fakeOwner) MarkSegment(_ int64, s segs.Segment) { o.segment, o.known = s, true }
+func (o *fakeOwner) HeartbeatLatency(time.Duration) (bool, time.Duration) {
+	return true, time.Millisecond
+}
+
+// NextEpoch returns a higher epoch with each call.
+func (o *fakeOwner) NextEpoch(context.Context, int64) (int64, error) {
+	o.epoch += 10
+	return o.epoch, nil
+}
+
+// CommitSegment adopts the segment unless the commit is to fail.
+func (o *fakeOwner) CommitSegment(_ context.Context, _ int64, s segs.Segment) error {
+	if o.commitEnd == nil {
+		o.segment, o.known = s, true
+	}
+	return o.commitEnd
+}
+
+// partitionedLog keeps the journal's partitions. Those that have failed end each call as given.
+type partitionedLog struct {
+	ports.Log
+	parts  [3][][]byte
+	failed map[int]error
+}
+
+// Append appends to a partition.
+func (l *partitionedLog) Append(_ context.Context, a ports.Append) (int64, error) {
+	if err := l.failed[a.Partition]; err != nil {
+		return 0, err
+	}
+	end := len(l.parts[a.Partition])
+	l.parts[a.Partition] = append(l.parts[a.Partition], a.Records...)
+	return int64(end), nil
+}
+
+// Read returns a partition's records.
+func (l *partitionedLog) Read(_ context.Context, _ string, partition int, from int64, _ time.Duration) (ports.Page, error) {
+	return ports.Page{Records: l.parts[partition][from:], StartOffset: from, EndOffset: int64(len(l.parts[partition]))}, nil
+}
+
+// Guards against a switch that ends although its partition failed, or that counts although another gate became owner; and against a successor
+// that doesn't find the new segment.
+func TestSwitchOfTheJournal(t *testing.T) {
+	scenarios := []struct {
+		testName  string
+		failed    map[int]error
+		commitEnd error
+		expected  int // partition of the new segment
+	}{
+		{"next partition", map[int]error{0: ports.ErrRejected}, nil, 1},
+		{"the next one fails too", map[int]error{0: ports.ErrRejected, 1: ports.ErrOutcomeUnknown}, nil, 2},
+		{"only the old one is back", map[int]error{1: ports.ErrRejected, 2: ports.ErrRejected}, nil, 0},
+		{"another gate is owner", map[int]error{0: ports.ErrRejected}, owner.ErrNotOwner, 0},
+		{"fenced by a successor", map[int]error{0: ports.ErrRejected, 1: ports.ErrFenced}, nil, 0},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := &partitionedLog{failed: map[int]error{}}
+				log.parts[1] = [][]byte{[]byte("void"), []byte("void")}
+				o := &fakeOwner{known: true, epoch: 7, commitEnd: s.commitEnd}
+				j := newJournal(log, o, 5, 3)
+				_, _, err := j.takeOver(t.Context(), sched.New(sched.Options{}))
+				assert.NilError(t, err)
+				log.failed = s.failed
+				snapshot, err := sched.Encode(sched.SnapshotStarted{Offset: 9})
+				assert.NilError(t, err)
+				end, err := sched.Encode(sched.SnapshotEnded{})
+				assert.NilError(t, err)
+				r, err := j.switchSegment(t.Context(), [][]byte{snapshot, end})
+				if s.commitEnd != nil || errors.Is(s.failed[1], ports.ErrFenced) {
+					assert.Assert(t, err != nil && !j.writer.MayAcknowledge(), "%v", err)
+					assert.Equal(t, o.segment, segs.Segment{})
+					return
+				}
+				assert.NilError(t, err)
+				assert.Equal(t, r.segment.Partition, s.expected)
+				assert.Assert(t, j.writer.MayAcknowledge())
+				successor := sched.New(sched.Options{})
+				_, size, err := newJournal(log, o, 100, 3).takeOver(t.Context(), successor)
+				assert.NilError(t, err)
+				assert.Equal(t, successor.InboxOffset(), int64(9))
+				assert.Equal(t, r.segment.Start, int64(len(log.parts[s.expected])-3))
+				assert.Assert(t, size > 0)
+			})
+		})
+	}
+}
--- a/gate/lead/service.go
+++ b/gate/lead/service.go
@@ -31,6 +31,8 @@
 	Configs   *feed.Configs
 	Timers    *timer.Service
 	Options   sched.Options
+	// Partitions of the journal's topic on which the owner may continue it when one fails. With 0 or 1 it stays where it is.
+	JournalParts int
 }
 
 // Service runs the scheduler while its gate is the owner.
--- a/gate/lead/term.go
+++ b/gate/lead/term.go
@@ -50,7 +50,7 @@
 func newTerm(s *Service, epoch int64) *term {
 	return &term{
 		Service: s, epoch: epoch, scheduler: sched.New(s.deps.Options),
-		journal:         &journal{log: s.deps.Log, epoch: epoch},
+		journal:         newJournal(s.deps.Log, s.deps.Elector, epoch, s.deps.JournalParts),
 		results:         make(chan sched.OrderResult, resultQueueSize),
 		workerLists:     make(chan map[string]sched.WorkerEntry, 1),
 		machineLists:    make(chan machineList, 1),
@@ -69,11 +69,7 @@
 	defer cancel()
 	go t.cancelWhenLost(ctx, cancel)
 	started := time.Now()
-	if err := t.journal.fence(ctx); err != nil {
-		return err
-	}
-	fenced := time.Now()
-	replayedBytes, err := t.journal.replay(ctx, t.scheduler)
+	fenced, replayedBytes, err := t.journal.takeOver(ctx, t.scheduler)
 	if err != nil {
 		return err
 	}
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -35,6 +35,8 @@
 	PeerAddress string  // host and port on which other gates connect
 	Processor   float64 // cores that the gate may use
 	Scheduler   sched.Options
+	// Partitions of the journal's topic on which the owner may continue it when one fails. With 0 or 1 it stays where it is.
+	JournalParts int
 }
 
 // Node is the job service of one gate.
@@ -59,6 +61,7 @@
 	n.lead = lead.New(lead.Deps{
 		Log: p.Log, Workers: p.Workers, Machines: p.Machines, Advisor: p.Advisor, Directory: p.Directory,
 		Operators: p.Operators, Elector: n.elector, Configs: n.configs, Timers: n.timers, Options: o.Scheduler,
+		JournalParts: o.JournalParts,
 	})
 	n.intake = intake.New(n.lead, n.network, n.elector, n.configs, p.Log, o.Scheduler.MaxJobBytes())
 	n.network.Handle(n.intake.PeerHandler())
--- a/gate/owner/elector.go
+++ b/gate/owner/elector.go
@@ -13,6 +13,7 @@
 
 	"mangowing/core/timer"
 	"mangowing/gate/ports"
+	"mangowing/gate/segs"
 )
 
 const (
@@ -60,6 +61,9 @@
 	missedAt      time.Duration // when records were last found to be trimmed before this gate had read them
 	// The heartbeats of all owners before the latest one were sent before this time.
 	predecessorSeenAt time.Duration
+	segment           segs.Segment // of the journal, as the latest record has it
+	hasSegment        bool         // a record has named a segment
+	latencies         segs.Latencies
 	candidate         Candidate
 }
 
@@ -188,7 +192,7 @@
 	epoch := e.ownEpoch
 	e.mu.Unlock()
 	for epoch != 0 && ctx.Err() == nil && e.OwnEpoch() == epoch {
-		err := e.appendRecord(ctx, kindRelease)
+		_, err := e.append(ctx, ownerRecord{Kind: kindRelease})
 		klog.InfoS("ownership-released", "epoch", epoch, "error", errText(err))
 		if err == nil {
 			e.EndOwnership("released")
@@ -241,7 +245,14 @@
 	if errors.Is(err, ports.ErrTrimmed) {
 		e.mu.Lock()
 		e.nextOffset, e.missedAt = page.OldestOffset, timer.SinceBoot()
+		missedClaim := e.ownEpoch != 0 && e.hasSegment
+		// The records that are left name the segment, or else the mark does.
+		e.segment, e.hasSegment = segs.Segment{}, false
 		e.mu.Unlock()
+		if missedClaim {
+			// The missed records may contain another gate's claim.
+			e.EndOwnership("records of the owner topic were trimmed unread")
+		}
 		return nil
 	}
 	if err != nil {
@@ -309,35 +320,61 @@
 	e.mu.Lock()
 	end := e.nextOffset
 	e.mu.Unlock()
-	err := e.appendRecord(ctx, kindClaim)
+	_, err := e.append(ctx, ownerRecord{Kind: kindClaim})
 	klog.InfoS("ownership-claim", "epoch", end+1, "error", errText(err))
 }
 
-// appendRecord appends a record if the topic still ends at topicEnd.
-func (e *Elector) appendRecord(ctx context.Context, kind recordKind) error {
+// append appends a record if the topic still ends at topicEnd, and returns its offset.
+func (e *Elector) append(ctx context.Context, n ownerRecord) (int64, error) {
 	e.mu.Lock()
+	return e.appendLocked(ctx, n)
+}
+
+// appendAsOwner is append for a record that only the owner under the epoch may write.
+func (e *Elector) appendAsOwner(ctx context.Context, epoch int64, n ownerRecord) (int64, error) {
+	e.mu.Lock()
+	if e.ownEpoch != epoch {
+		e.mu.Unlock()
+		return 0, ErrNotOwner
+	}
+	return e.appendLocked(ctx, n)
+}
+
+// appendLocked is append with the lock held, which it releases. The record names the segment that counts at topicEnd, unless it
+// changes it.
+func (e *Elector) appendLocked(ctx context.Context, n ownerRecord) (int64, error) {
 	e.sequence++
-	n := ownerRecord{Kind: kind, Name: e.name, Address: e.address, Instance: e.instance, Number: e.sequence}
-	e.sentAt[n.Number] = timer.SinceBoot()
-	end := e.topicEnd
+	n.Name, n.Address, n.Instance, n.Number = e.name, e.address, e.instance, e.sequence
+	if n.Segment == nil {
+		n.Segment = e.knownSegment()
+	}
+	sentAt, end := timer.SinceBoot(), e.topicEnd
+	e.sentAt[n.Number] = sentAt
+	if n.Kind == kindHeartbeat {
+		e.latencies.Sent(n.Number, sentAt)
+	}
 	e.mu.Unlock()
 	record, err := json.Marshal(n)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	offset, err := e.log.Append(ctx, ports.Append{Topic: topic, Records: [][]byte{record}, ExpectedEnd: end})
-	if err != nil {
-		return err
-	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.latencies.Ended(n.Number, timer.SinceBoot(), err == nil)
+	if err != nil {
+		return 0, err
+	}
 	e.topicEnd = max(e.topicEnd, offset+1)
-	if kind == kindHeartbeat {
+	if n.Kind == kindHeartbeat || n.Kind == kindSegment {
 		e.recordHeartbeat(n.Number)
 	}
-	return nil
+	if n.Kind == kindSegment {
+		e.applySegment(*n.Segment)
+	}
+	return offset, nil
 }
 
 // SendHeartbeats sends heartbeats while this gate is owner, until the context ends.
@@ -355,7 +392,7 @@
 // sendHeartbeat reports whether a heartbeat was acknowledged. If the append fails because another record was added, Follow
 // reads that record and acts on it.
 func (e *Elector) sendHeartbeat(ctx context.Context, epoch int64) bool {
-	err := e.appendRecord(ctx, kindHeartbeat)
+	_, err := e.appendAsOwner(ctx, epoch, ownerRecord{Kind: kindHeartbeat})
 	if err != nil {
 		klog.InfoS("beat-failed", "epoch", epoch, "error", err.Error())
 	}
--- a/gate/owner/record.go
+++ b/gate/owner/record.go
@@ -8,6 +8,7 @@
 
 	"mangowing/core/logs"
 	"mangowing/core/timer"
+	"mangowing/gate/segs"
 )
 
 // recordKind is the kind of a record of the owner topic.
@@ -17,6 +18,8 @@
 	kindClaim     recordKind = "claim"
 	kindHeartbeat recordKind = "beat"
 	kindRelease   recordKind = "release"
+	// The owner continues the journal on another segment.
+	kindSegment recordKind = "segment"
 )
 
 // ownerRecord is a record of the owner topic.
@@ -26,6 +29,8 @@
 	Address  string     `json:"address"`
 	Instance string     `json:"life"`
 	Number   int64      `json:"number"`
+	// The segment of the journal that counts from this record on, nil where the journal has always been on partition 0.
+	Segment *segs.Segment `json:"segment,omitempty"`
 }
 
 // applyRecord updates the view of the owner from one record of the topic.
@@ -36,6 +41,9 @@
 		return
 	}
 	now := timer.SinceBoot()
+	if n.Segment != nil {
+		e.applySegment(*n.Segment)
+	}
 	switch n.Kind {
 	case kindClaim:
 		klog.InfoS("owner-claimed", "owner", n.Name, "epoch", offset+1)
@@ -43,7 +51,7 @@
 		e.view = View{name: n.Name, address: n.Address, epoch: offset + 1, lastSeen: now}
 		e.applyClaim(n, offset+1)
 		e.notify()
-	case kindHeartbeat:
+	case kindHeartbeat, kindSegment:
 		e.view.lastSeen, e.view.refusedConnection = now, false
 		if n.Instance == e.instance {
 			e.recordHeartbeat(n.Number)
--- a/stand/cloud/gates_test.go
+++ b/stand/cloud/gates_test.go
@@ -27,6 +27,8 @@
 	operators *Operators
 	gates     map[string]*runningGate
 	lastID    int
+	// Partitions on which the journal may continue, 0 for none.
+	journalParts int
 }
 
 type runningGate struct {
@@ -47,8 +49,14 @@
 
 // newDeploymentWithCores starts one gate for each number of cores.
 func newDeploymentWithCores(t *testing.T, cores ...float64) *deployment {
+	return startDeployment(t, 0, cores...)
+}
+
+// startDeployment starts one gate for each number of cores, whose journal may continue on the given number of partitions.
+func startDeployment(t *testing.T, journalParts int, cores ...float64) *deployment {
 	d := &deployment{
-		t: t, log: NewLog(), workers: NewWorkers(4, "pots", 300*time.Millisecond),
+		journalParts: journalParts,
+		t:            t, log: NewLog(), workers: NewWorkers(4, "pots", 300*time.Millisecond),
 		operators: NewOperators(testConfig(1, "key-1", "key-2")), gates: map[string]*runningGate{},
 	}
 	for i, processor := range cores {
@@ -70,7 +78,7 @@
 }
 
 func (d *deployment) startGate(name string, processor float64) {
-	n := node.New(node.Options{Name: name, PeerAddress: freeAddress(d.t), Processor: processor}, node.Platform{
+	n := node.New(node.Options{Name: name, PeerAddress: freeAddress(d.t), Processor: processor, JournalParts: d.journalParts}, node.Platform{
 		Log: d.log.View(name), Workers: d.workers, Machines: Machines{}, Advisor: Advisor{},
 		Directory: d.workers, Operators: d.operators.View(name),
 	})
--- a/stand/cloud/log.go
+++ b/stand/cloud/log.go
@@ -26,6 +26,7 @@
 	topics  map[partitionKey]*logTopic
 	keyed   map[string]map[string][]byte
 	faults  map[string]Fault // by gate; "" stands for all
+	failed  map[partitionKey]Fault
 	delays  map[delayKey]time.Duration
 	changed chan struct{}
 	appends int
@@ -59,7 +60,7 @@
 // NewLog returns an empty log.
 func NewLog() *Log {
 	return &Log{
-		topics: map[partitionKey]*logTopic{}, keyed: map[string]map[string][]byte{}, faults: map[string]Fault{}, delays: map[delayKey]time.Duration{},
+		topics: map[partitionKey]*logTopic{}, keyed: map[string]map[string][]byte{}, faults: map[string]Fault{}, failed: map[partitionKey]Fault{}, delays: map[delayKey]time.Duration{},
 		changed: make(chan struct{}),
 	}
 }
@@ -71,6 +72,13 @@
 	l.faults[gate] = f
 }
 
+// SetPartitionFault sets the fault injected into all gates' calls of one partition of a topic.
+func (l *Log) SetPartitionFault(topic string, partition int, f Fault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failed[partitionKey{topic, partition}] = f
+}
+
 // DelayReads delays the start of each of a gate's reads of a topic.
 func (l *Log) DelayReads(gate, topic string, delay time.Duration) {
 	l.mu.Lock()
@@ -99,18 +107,21 @@
 	gate string
 }
 
-func (l *Log) faultOf(gate string) Fault {
+func (l *Log) faultOf(gate string, p partitionKey) Fault {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if f := l.faults[""]; f != FaultNone {
 		return f
 	}
+	if f := l.failed[p]; f != FaultNone {
+		return f
+	}
 	return l.faults[gate]
 }
 
 // applyFault returns the error of a call that a fault keeps from being served, nil if it is served.
-func (v logView) applyFault(ctx context.Context) error {
-	switch v.log.faultOf(v.gate) {
+func (v logView) applyFault(ctx context.Context, p partitionKey) error {
+	switch v.log.faultOf(v.gate, p) {
 	case FaultReject:
 		return ports.ErrRejected
 	case FaultNoResponse:
@@ -123,11 +134,12 @@
 
 // Append appends the records if the call's conditions hold, and returns the offset of the first one.
 func (v logView) Append(ctx context.Context, a ports.Append) (int64, error) {
-	if err := v.applyFault(ctx); err != nil {
+	p := partitionKey{a.Topic, a.Partition}
+	if err := v.applyFault(ctx, p); err != nil {
 		return 0, err
 	}
 	offset, err := v.log.append(a)
-	if v.log.faultOf(v.gate) == FaultLoseResponse {
+	if v.log.faultOf(v.gate, p) == FaultLoseResponse {
 		<-ctx.Done()
 		return 0, ports.ErrOutcomeUnknown
 	}
@@ -186,7 +198,7 @@
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
-		if err := v.applyFault(ctx); err != nil {
+		if err := v.applyFault(ctx, partitionKey{name, partition}); err != nil {
 			return ports.Page{}, err
 		}
 		page, changed, err := v.log.readPage(name, partition, from)
@@ -219,7 +231,7 @@
 
 // Trim deletes a partition's records before the offset.
 func (v logView) Trim(ctx context.Context, name string, partition int, before int64) error {
-	if err := v.applyFault(ctx); err != nil {
+	if err := v.applyFault(ctx, partitionKey{name, partition}); err != nil {
 		return err
 	}
 	v.log.mu.Lock()
@@ -233,7 +245,7 @@
 
 // Put writes a new value of a key.
 func (v logView) Put(ctx context.Context, name string, e ports.KeyValue) error {
-	if err := v.applyFault(ctx); err != nil {
+	if err := v.applyFault(ctx, partitionKey{topic: name}); err != nil {
 		return err
 	}
 	v.log.mu.Lock()
@@ -247,7 +259,7 @@
 
 // Newest returns the newest value of each key.
 func (v logView) Newest(ctx context.Context, name string) ([]ports.KeyValue, error) {
-	if err := v.applyFault(ctx); err != nil {
+	if err := v.applyFault(ctx, partitionKey{topic: name}); err != nil {
 		return nil, err
 	}
 	v.log.mu.Lock()
