gate/intake, gate/lead: the inbox over inbox-parts partitions

Cause: a failed partition of the inbox keeps gates that can't reach the owner from storing jobs. Ended jobs are kept while a partition that may hold a second copy of them is unread.

--- a/core/sched/codec.go
+++ b/core/sched/codec.go
@@ -29,6 +29,9 @@
 	tagTaskCrashes
 )
 
+// The numbers between are left to other records.
+const tagInboxPartitionAdvanced recordTag = 32
+
 var decoders = map[recordTag]func(body []byte) (Record, error){
 	tagJobAccepted:        decodeAs[JobAccepted],
 	tagJobCancelled:       decodeAs[JobCancelled],
@@ -44,6 +47,8 @@
 	tagMaintenanceOrdered: decodeAs[MaintenanceOrdered],
 	tagTasksSnapshot:      decodeAs[TasksSnapshot],
 	tagTaskCrashes:        decodeAs[TaskCrashes],
+
+	tagInboxPartitionAdvanced: decodeAs[InboxPartitionAdvanced],
 }
 
 // Encode returns the binary form of the record: codec version, tag and CBOR body.
--- a/core/sched/intake.go
+++ b/core/sched/intake.go
@@ -91,13 +91,21 @@
 	}
 }
 
-// AdvanceInbox records that all inbox records before the offset were processed.
-func (sc *Scheduler) AdvanceInbox(offset int64) {
-	record := InboxAdvanced{Offset: offset}
-	sc.appendRecord(record)
-	sc.inboxOffset = offset
+// AdvanceInbox records that all records of an inbox partition before the offset were processed.
+func (sc *Scheduler) AdvanceInbox(partition int, offset int64) {
+	if partition == 0 {
+		sc.appendRecord(InboxAdvanced{Offset: offset})
+		sc.inboxOffset = offset
+		return
+	}
+	sc.appendRecord(InboxPartitionAdvanced{Partition: partition, Offset: offset})
+	sc.inboxOffsets[partition] = offset
 }
 
+// KeepEndedSince keeps jobs that ended after the given time, whatever the retention. A partition of the inbox that has not been read since may
+// hold a second copy of such a job, which would run again if the job were forgotten.
+func (sc *Scheduler) KeepEndedSince(t time.Time) { sc.keepEndedSince = t }
+
 func (sc *Scheduler) markEnded(j *job, now time.Time) {
 	j.endedAt = now
 	sc.endedJobs = append(sc.endedJobs, j)
@@ -107,7 +115,7 @@
 func (sc *Scheduler) forgetEndedJobs(now time.Time) {
 	for len(sc.endedJobs) > 0 {
 		j := sc.endedJobs[0]
-		if now.Sub(j.endedAt) < sc.options.Retention || j.runCount > 0 {
+		if now.Sub(j.endedAt) < sc.options.Retention || j.runCount > 0 || !sc.keepEndedSince.IsZero() && j.endedAt.After(sc.keepEndedSince) {
 			return
 		}
 		sc.endedJobs = sc.endedJobs[1:]
--- a/core/sched/record.go
+++ b/core/sched/record.go
@@ -1,6 +1,6 @@
 package sched
 
-// Record is an entry of the journal: JobAccepted, JobCancelled, TaskStarted, TaskEnded, InboxAdvanced, WaveSeen,
+// Record is an entry of the journal: JobAccepted, JobCancelled, TaskStarted, TaskEnded, InboxAdvanced, InboxPartitionAdvanced, WaveSeen,
 // MaintenanceOrdered, MaintenanceDone, SurgeSeen, SnapshotStarted, JobSnapshot, TasksSnapshot, TaskCrashes or SnapshotEnded. Records are stored as CBOR
 // arrays, so the order and the types of their fields must not change.
 type Record interface {
@@ -43,6 +43,16 @@
 	Offset int64
 }
 
+// InboxPartitionAdvanced records that all records before the offset of an inbox partition other than the first were processed. It is also
+// part of a snapshot, for each such partition.
+type InboxPartitionAdvanced struct {
+	_         struct{} `cbor:",toarray"`
+	Partition int
+	Offset    int64
+}
+
+func (InboxPartitionAdvanced) tag() recordTag { return tagInboxPartitionAdvanced }
+
 // WaveSeen records when a maintenance wave became known.
 type WaveSeen struct {
 	_    struct{} `cbor:",toarray"`
--- a/core/sched/replay.go
+++ b/core/sched/replay.go
@@ -46,6 +46,12 @@
 		return nil
 	case SnapshotEnded:
 		return sc.replaySnapshot(r)
+	case InboxPartitionAdvanced:
+		if sc.snapshot.started {
+			// It counts only if the snapshot is complete: the jobs before the offset may be in the snapshot alone.
+			sc.snapshot.add(r)
+			return nil
+		}
 	case JobAccepted, TaskStarted, TaskEnded, InboxAdvanced:
 		sc.snapshot = pendingSnapshot{}
 	default:
@@ -63,6 +69,7 @@
 	}
 	sc.reset()
 	sc.inboxOffset = s.inboxOffset
+	clear(sc.inboxOffsets)
 	for _, r := range s.records {
 		if err := sc.applyRecord(r); err != nil {
 			return err
@@ -84,6 +91,8 @@
 		sc.replayTaskEnded(r)
 	case InboxAdvanced:
 		sc.inboxOffset = r.Offset
+	case InboxPartitionAdvanced:
+		sc.inboxOffsets[r.Partition] = r.Offset
 	case JobSnapshot:
 		sc.restoreJob(r)
 	case TasksSnapshot:
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -21,7 +21,8 @@
 	teams             map[string]*team
 	pools             map[string]*pool
 	poolOrder         []*pool         // all pools in order of creation
-	inboxOffset       int64           // offset of the first inbox record that has not been processed
+	inboxOffset       int64           // offset of the first record of the first inbox partition that has not been processed
+	inboxOffsets      map[int]int64   // the same for the other partitions
 	waveFirstSeen     map[int64]int64 // wave number -> when it became known, in Unix milliseconds
 	maintained        map[maintenanceKey]bool
 	maintenanceOrders map[string]int64 // machine id -> wave whose maintenance was ordered and is not confirmed as done
@@ -45,6 +46,7 @@
 	// Indexes and timers.
 	openJobs          map[*job]bool // jobs whose tasks may still be started
 	endedJobs         []*job        // in the order in which they ended, cancelled ones included
+	keepEndedSince    time.Time     // jobs that ended after it are not forgotten, zero for no such bound
 	lastMachinePlan   time.Time     // when machines were last planned
 	lastPeriodicCheck time.Time     // when the periodic checks last ran
 	lastFullPass      time.Time     // when Decide last went through all workers and open jobs
@@ -115,7 +117,7 @@
 		options: options.withDefaults(),
 		cfg:     setup.New(0, nil, nil, nil, setup.Limits{}),
 		jobs:    map[string]*job{}, earlyCancels: map[string]bool{}, workers: map[string]*worker{},
-		teams: map[string]*team{}, pools: map[string]*pool{}, machines: map[string]*machine{},
+		teams: map[string]*team{}, pools: map[string]*pool{}, machines: map[string]*machine{}, inboxOffsets: map[int]int64{},
 		openJobs: map[*job]bool{}, replacedWorkers: map[string]int64{}, waveFirstSeen: map[int64]int64{}, maintained: map[maintenanceKey]bool{}, maintenanceOrders: map[string]int64{},
 		waves: map[int64]*wave{}, changedJobs: map[*job]bool{}, workersWithNewEnds: map[*worker]bool{},
 	}
@@ -157,8 +159,22 @@
 // must stop.
 func (sc *Scheduler) IsFenced() bool { return sc.fenced }
 
-// InboxOffset returns the offset of the first inbox record that has not been processed.
-func (sc *Scheduler) InboxOffset() int64 { return sc.inboxOffset }
+// InboxOffset returns the offset of the first record of an inbox partition that has not been processed.
+func (sc *Scheduler) InboxOffset(partition int) int64 {
+	if partition == 0 {
+		return sc.inboxOffset
+	}
+	return sc.inboxOffsets[partition]
+}
+
+// InboxPartitions returns how many partitions of the inbox have been read.
+func (sc *Scheduler) InboxPartitions() int {
+	n := 1
+	for partition := range sc.inboxOffsets {
+		n = max(n, partition+1)
+	}
+	return n
+}
 
 // TakeImmediateOrders returns and clears the orders that are sent without waiting for a record to be stored.
 func (sc *Scheduler) TakeImmediateOrders() []Order {
--- a/core/sched/snapshot.go
+++ b/core/sched/snapshot.go
@@ -22,6 +22,9 @@
 func (sc *Scheduler) Snapshot() []Record {
 	records := make([]Record, 0, len(sc.jobs)+2)
 	records = append(records, SnapshotStarted{Offset: sc.inboxOffset})
+	for partition, offset := range sc.inboxOffsets {
+		records = append(records, InboxPartitionAdvanced{Partition: partition, Offset: offset})
+	}
 	for _, id := range slices.Sorted(maps.Keys(sc.jobs)) {
 		records = append(records, snapshotJob(sc.jobs[id]).split(sc.options.maxTasksBytes())...)
 		records = append(records, snapshotCrashes(sc.jobs[id])...)
--- a/gate/intake/inbox_test.go
+++ b/gate/intake/inbox_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -51,7 +52,7 @@
 		t.Run(s.testName, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				log := &scriptedLog{ends: s.ends}
-				service := &Service{log: log}
+				service := &Service{inbox: inboxWriter{log: log}}
 				reply := service.appendToInbox(t.Context(), []byte("job"), "5c0e7a21d94b36f8", false)
 				assert.Equal(t, reply.Code(), s.expected)
 			})
@@ -95,3 +96,35 @@
 		})
 	}
 }
+
+// halfDownLog is a log of which one inbox partition ends every append with an error, at once or when the caller gives up.
+type halfDownLog struct {
+	ports.Log
+	err error
+}
+
+// Append fails on partition 0.
+func (l *halfDownLog) Append(ctx context.Context, a ports.Append) (int64, error) {
+	if a.Partition != 0 {
+		return 0, nil
+	}
+	if errors.Is(l.err, ports.ErrOutcomeUnknown) {
+		<-ctx.Done()
+	}
+	return 0, l.err
+}
+
+// Guards against jobs that can't be stored because one partition of the inbox is down, and against asking it first each time.
+func TestInboxUsesAnotherPartition(t *testing.T) {
+	for _, err := range []error{ports.ErrRejected, ports.ErrOutcomeUnknown} {
+		synctest.Test(t, func(t *testing.T) {
+			w := &inboxWriter{log: &halfDownLog{err: err}, parts: 2}
+			started := time.Now()
+			assert.NilError(t, w.append(t.Context(), []byte("job")))
+			assert.Assert(t, time.Since(started) <= inboxHedgeDelay)
+			started = time.Now()
+			assert.NilError(t, w.append(t.Context(), []byte("job")))
+			assert.Equal(t, time.Since(started), time.Duration(0))
+		})
+	}
+}
--- a/gate/intake/service.go
+++ b/gate/intake/service.go
@@ -22,7 +22,6 @@
 )
 
 const (
-	inboxTopic = "inbox"
 	// Calls are refused with an older configuration, since it may still contain a withdrawn key.
 	maxConfigAge = 5 * time.Second
 	// Time limit of calls without a deadline.
@@ -33,12 +32,9 @@
 	// Time limit of one call to the owner.
 	ownerCallTimeout = 800 * time.Millisecond
 	// The inbox is used when the owner could not be reached for this long.
-	ownerRetryTime     = 900 * time.Millisecond
-	retryPause         = 60 * time.Millisecond
-	inboxAppendTimeout = 1200 * time.Millisecond
-	inboxHedgeDelay    = 250 * time.Millisecond
-	maxInboxAppends    = 3
-	jobIDLength        = 16
+	ownerRetryTime = 900 * time.Millisecond
+	retryPause     = 60 * time.Millisecond
+	jobIDLength    = 16
 	// Tasks of one job that may be due at once; each takes some 150 bytes of the owner's memory.
 	maxTasksDue       = 100_000
 	defaultRetryAfter = time.Second
@@ -61,15 +57,15 @@
 	network    feed.Network
 	elector    *owner.Elector
 	configs    *feed.Configs
-	log        ports.Log
+	inbox      inboxWriter
 	// Jobs whose encoded JobAccepted is larger are refused, since no journal can store them.
 	maxJobBytes int
 }
 
 // New returns a service that calls the owner, and appends to the log while the owner can't be reached. It refuses jobs whose encoded
-// JobAccepted exceeds maxJobBytes.
-func New(localOwner LocalOwner, network feed.Network, elector *owner.Elector, configs *feed.Configs, log ports.Log, maxJobBytes int) *Service {
-	return &Service{localOwner: localOwner, network: network, elector: elector, configs: configs, log: log, maxJobBytes: maxJobBytes}
+// JobAccepted exceeds maxJobBytes. The inbox has the given number of partitions, at least one.
+func New(localOwner LocalOwner, network feed.Network, elector *owner.Elector, configs *feed.Configs, log ports.Log, maxJobBytes, inboxParts int) *Service {
+	return &Service{localOwner: localOwner, network: network, elector: elector, configs: configs, inbox: inboxWriter{log: log, parts: inboxParts}, maxJobBytes: maxJobBytes}
 }
 
 // IsReady reports whether the gate has a configuration that is recent enough to admit calls.
@@ -203,11 +199,7 @@
 }
 
 func (s *Service) appendToInbox(ctx context.Context, record []byte, id string, outcomeUnknown bool) Reply {
-	_, err := lead.Hedged(ctx, inboxHedgeDelay, maxInboxAppends, func(ctx context.Context) (int64, error) {
-		ctx, cancel := context.WithTimeout(ctx, inboxAppendTimeout)
-		defer cancel()
-		return s.log.Append(ctx, ports.Append{Topic: inboxTopic, Records: [][]byte{record}, ExpectedEnd: ports.AnyEnd})
-	})
+	err := s.inbox.append(ctx, record)
 	klog.InfoS("inbox-used", "job", id, "error", errText(err))
 	switch {
 	case err == nil:
--- a/gate/lead/answers.go
+++ b/gate/lead/answers.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -17,6 +18,10 @@
 	logUnavailableRetry = 2 * time.Second
 	// If the inbox was read within this time, no gate has accepted a job that is unknown here.
 	inboxStaleAfter = 2 * time.Second
+	// A call to the log without an answer may take effect this much later.
+	lateAppendTime = 30 * time.Second
+	// The log keeps a record for this long.
+	logRetention = 300 * time.Second
 )
 
 // handleCall handles a call of the intake.
@@ -45,12 +50,29 @@
 // jobUnknownAnswer returns the answer for a job that is not on the journal. While the inbox may still hold the job, the answer
 // makes the gate repeat the call.
 func (t *term) jobUnknownAnswer(now time.Time) Answer {
-	if now.Sub(t.inboxReadAt) > inboxStaleAfter {
+	if now.Sub(t.inboxAppliedUntil()) > inboxStaleAfter {
 		return NewRefusal(codes.NotOwner, 0)
 	}
 	return NewRefusal(codes.JobUnknown, 0)
 }
 
+// inboxAppliedUntil returns a time before which all records of the inbox were applied.
+func (t *term) inboxAppliedUntil() time.Time { return slices.MinFunc(t.inboxReadAt, time.Time.Compare) }
+
+// keepEndedJobs keeps the scheduler from forgetting ended jobs of which a partition of the inbox may hold a second copy.
+func (t *term) keepEndedJobs(now time.Time) {
+	if len(t.inboxReadAt) > 1 {
+		t.scheduler.KeepEndedSince(latest(t.inboxAppliedUntil().Add(-lateAppendTime), now.Add(-logRetention-lateAppendTime)))
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (t *term) submit(now time.Time, c submitCall) {
 	// A job that is known may have been stored by the append in flight, so it can't be refused any more.
 	if t.appendInFlight && now.Sub(t.appendStartedAt) > logUnavailableAfter && !t.scheduler.HasJob(c.spec.ID) {
@@ -78,7 +100,7 @@
 // applyInboxPage applies the jobs and cancellations that gates accepted while they could not reach the owner.
 func (t *term) applyInboxPage(now time.Time, page inboxPage) {
 	if page.NextOffset() >= page.EndOffset {
-		t.inboxReadAt = page.requestedAt
+		t.inboxReadAt[page.partition] = page.requestedAt
 	}
 	for _, raw := range page.Records {
 		record, err := sched.Decode(raw)
@@ -98,6 +120,6 @@
 		}
 	}
 	if len(page.Records) > 0 {
-		t.scheduler.AdvanceInbox(page.NextOffset())
+		t.scheduler.AdvanceInbox(page.partition, page.NextOffset())
 	}
 }
--- a/gate/lead/segments_test.go
+++ b/gate/lead/segments_test.go
@@ -106,7 +106,7 @@
 				successor := sched.New(sched.Options{})
 				_, size, err := newJournal(log, o, 100, 3).takeOver(t.Context(), successor)
 				assert.NilError(t, err)
-				assert.Equal(t, successor.InboxOffset(), int64(9))
+				assert.Equal(t, successor.InboxOffset(0), int64(9))
 				assert.Equal(t, r.segment.Start, int64(len(log.parts[s.expected])-3))
 				assert.Assert(t, size > 0)
 			})
--- a/gate/lead/service.go
+++ b/gate/lead/service.go
@@ -33,6 +33,8 @@
 	Options   sched.Options
 	// Partitions of the journal's topic on which the owner may continue it when one fails. With 0 or 1 it stays where it is.
 	JournalParts int
+	// Partitions of the inbox; less than 2 for the first one only.
+	InboxParts int
 }
 
 // Service runs the scheduler while its gate is the owner.
--- a/gate/lead/term.go
+++ b/gate/lead/term.go
@@ -37,7 +37,7 @@
 	machinesArriving   atomic.Bool    // see sched.Scheduler.HasMachinesArriving
 	pendingReplies     []pendingReply // sent once the scheduler's current records are stored
 	heldOrders         []sched.Order  // held back until this gate may send orders again
-	inboxReadAt        time.Time      // all inbox records from before this time were applied
+	inboxReadAt        []time.Time    // by partition: all inbox records from before this time were applied
 	lastSnapshotAt     time.Time
 	bytesSinceSnapshot int // journal bytes that a new owner would replay in addition to the last snapshot
 	lastSnapshotBytes  int
@@ -109,12 +109,16 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go t.watchDirectory(ctx)
-	go t.watchInbox(ctx, t.scheduler.InboxOffset())
+	t.inboxReadAt = make([]time.Time, max(1, t.deps.InboxParts, t.scheduler.InboxPartitions()))
+	for partition := range t.inboxReadAt {
+		go t.watchInbox(ctx, partition, t.scheduler.InboxOffset(partition))
+	}
 	go t.watchMachines(ctx)
 	ticks := t.deps.Timers.Subscribe(tickPeriod)
 	defer ticks.Close()
 	for {
 		now := time.Now()
+		t.keepEndedJobs(now)
 		t.scheduler.Decide(now)
 		t.machinesArriving.Store(t.scheduler.HasMachinesArriving())
 		if t.scheduler.TakeMachineListRequest() {
--- a/gate/lead/watch.go
+++ b/gate/lead/watch.go
@@ -143,14 +143,15 @@
 // inboxPage is the result of one read of the inbox.
 type inboxPage struct {
 	ports.Page
+	partition   int
 	requestedAt time.Time // the page ends no earlier than the inbox did at this time
 }
 
-// watchInbox passes each page of the inbox to the event loop, including empty ones, which show that there is nothing new.
-func (t *term) watchInbox(ctx context.Context, from int64) {
+// watchInbox passes each page of an inbox partition to the event loop, including empty ones, which show that there is nothing new.
+func (t *term) watchInbox(ctx context.Context, partition int, from int64) {
 	wait := time.Duration(0)
 	for ctx.Err() == nil {
-		page, err := t.readInbox(ctx, from, wait)
+		page, err := t.readInbox(ctx, partition, from, wait)
 		if errors.Is(err, ports.ErrTrimmed) {
 			from = page.OldestOffset
 			continue
@@ -167,16 +168,16 @@
 	}
 }
 
-func (t *term) readInbox(ctx context.Context, from int64, wait time.Duration) (inboxPage, error) {
+func (t *term) readInbox(ctx context.Context, partition int, from int64, wait time.Duration) (inboxPage, error) {
 	ctx, cancel := context.WithTimeout(ctx, inboxReadWait+directoryTimeout)
 	defer cancel()
 	requestedAt := time.Now()
-	page, err := t.deps.Log.Read(ctx, inboxTopic, 0, from, wait)
+	page, err := t.deps.Log.Read(ctx, inboxTopic, partition, from, wait)
 	if len(page.Records) == 0 && time.Since(requestedAt) >= wait {
 		// The log returns an empty page only after the wait, so the page reflects that time.
 		requestedAt = requestedAt.Add(wait)
 	}
-	return inboxPage{page, requestedAt}, err
+	return inboxPage{page, partition, requestedAt}, err
 }
 
 // machineList is the platform's answer to a request for its machines.
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -37,6 +37,8 @@
 	Scheduler   sched.Options
 	// Partitions of the journal's topic on which the owner may continue it when one fails. With 0 or 1 it stays where it is.
 	JournalParts int
+	// Partitions of the inbox; less than 2 for the first one only.
+	InboxParts int
 }
 
 // Node is the job service of one gate.
@@ -61,9 +63,9 @@
 	n.lead = lead.New(lead.Deps{
 		Log: p.Log, Workers: p.Workers, Machines: p.Machines, Advisor: p.Advisor, Directory: p.Directory,
 		Operators: p.Operators, Elector: n.elector, Configs: n.configs, Timers: n.timers, Options: o.Scheduler,
-		JournalParts: o.JournalParts,
+		JournalParts: o.JournalParts, InboxParts: o.InboxParts,
 	})
-	n.intake = intake.New(n.lead, n.network, n.elector, n.configs, p.Log, o.Scheduler.MaxJobBytes())
+	n.intake = intake.New(n.lead, n.network, n.elector, n.configs, p.Log, o.Scheduler.MaxJobBytes(), o.InboxParts)
 	n.network.Handle(n.intake.PeerHandler())
 	n.network.Handle(n.peers.SyncHandler(n.configs))
 	n.network.Handle(n.peers.FetchHandler(n.configs))
