--- a/gate/lead/segments_test.go
+++ b/gate/lead/segments_test.go
@@ -113,3 +113,29 @@
 		})
 	}
 }
+
+// Guards against a successor that goes on without knowing what was stored on the journal's partition: it answers nothing, or doesn't begin as the
+// topic of the owner says.
+func TestTakeoverNeedsTheCurrentSegment(t *testing.T) {
+	current := segs.Segment{Number: 2, Partition: 1, Epoch: 3, Start: 0, Snapshot: 0}
+	scenarios := []struct {
+		testName string
+		failed   map[int]error
+		header   string
+	}{
+		{"the partition is down", map[int]error{1: ports.ErrOutcomeUnknown}, `{"segment":2,"epoch":3}`},
+		{"another segment begins there", nil, `{"segment":2,"epoch":9}`},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), takeOverTimeout)
+				defer cancel()
+				log := &partitionedLog{failed: s.failed}
+				log.parts[1] = [][]byte{[]byte(s.header)}
+				_, _, err := newJournal(log, &fakeOwner{segment: current, known: true}, 7, 3).takeOver(ctx, sched.New(sched.Options{}))
+				assert.Assert(t, err != nil)
+			})
+		})
+	}
+}
