gate/segs: the walk takes phases from the writer

Cause: the walk kept the writer's phase a second time. Change: it reads the phase. The choices are the same.

--- a/gate/segs/walk_test.go
+++ b/gate/segs/walk_test.go
@@ -66,13 +66,11 @@
 type walkTerm struct {
 	claim    int64
 	writer   *Writer
-	state    []string // all facts decided or replayed, in order
-	group    []string // facts that wait to be acknowledged
-	chunks   [][]string
-	opening  bool // the chunks belong to the next segment
-	switches bool
-	epoch    int64 // of the next attempt, 0 until a heartbeat was confirmed
-	next     Segment
+	state    []string   // all facts decided or replayed, in order
+	group    []string   // facts that wait to be acknowledged
+	chunks   [][]string // appends that are due
+	snapshot int64      // offset of the last snapshot's start
+	epoch    int64      // of the next attempt, 0 until a heartbeat was confirmed
 }
 
 type walkGate struct {
@@ -256,7 +254,7 @@
 		w.appendChunk(g)
 	case term.writer.phase == phaseCommitting:
 		w.commit(g)
-	case term.switches:
+	case term.writer.phase == phaseGivenUp:
 		w.open(g)
 	default:
 		w.acknowledge(term)
@@ -288,28 +286,27 @@
 	switch {
 	case err == nil:
 		term.writer.Appended(offset)
-		if term.chunks[0][0] == snapshotStart {
-			term.next.Snapshot = offset
-		}
-		if done := term.chunks[0][0]; done == snapshotEnd && !term.opening && len(term.chunks) == 1 {
-			term.writer.Marked(term.next.Snapshot)
+		switch opening := term.writer.phase == phaseOpening; {
+		case term.chunks[0][0] == snapshotStart:
+			term.snapshot = offset
+		case term.chunks[0][0] == snapshotEnd && opening:
+			_, err := term.writer.Complete()
+			w.must(err)
+		case term.chunks[0][0] == snapshotEnd:
+			term.writer.Marked(term.snapshot)
 			g.segment = g.segment.Merge(term.writer.Current())
 		}
 		term.chunks = term.chunks[1:]
-		if len(term.chunks) == 0 && term.opening {
-			term.next, err = term.writer.Complete()
-			w.must(err)
-		}
 	case err != ports.ErrOutcomeUnknown:
 		g.term = nil
 	case w.rng.IntN(3) > 0:
-	case term.opening:
+	case term.writer.phase == phaseOpening:
 		w.must(term.writer.Abandon())
-		term.chunks, term.epoch, term.opening = nil, 0, false
+		term.chunks, term.epoch = nil, 0
 	default:
 		w.must(term.writer.GiveUp())
 		w.decide(term) // what was decided meanwhile is in the snapshot as well
-		term.chunks, term.switches, term.epoch = nil, true, 0
+		term.chunks, term.epoch = nil, 0
 	}
 }
 
@@ -325,7 +322,7 @@
 	if _, err := w.appendJournal(FenceAppend(partition, term.epoch)); err == nil {
 		header, err := term.writer.Open(partition, term.epoch)
 		w.must(err)
-		term.chunks, term.opening = append([][]string{{string(header)}}, w.snapshot(term)...), true
+		term.chunks = append([][]string{{string(header)}}, w.snapshot(term)...)
 	} else if err == ports.ErrFenced {
 		g.term = nil
 	}
@@ -333,13 +330,12 @@
 
 func (w *walk) commit(g *walkGate) {
 	term := g.term
-	if g.segment.Number < term.next.Number {
-		if _, err := w.appendOwner(g, ownerEntry{segment: term.next}); err != nil {
+	if g.segment.Number < term.writer.next.Number {
+		if _, err := w.appendOwner(g, ownerEntry{segment: term.writer.next}); err != nil {
 			return
 		}
 	}
 	w.must(term.writer.Committed())
-	term.opening, term.switches, term.epoch = false, false, 0
 	w.switches++
 	w.acknowledge(term)
 }
