--- a/core/sched/codec.go
+++ b/core/sched/codec.go
@@ -30,6 +30,9 @@
 	tagEvacuationChanged
 )
 
+// The numbers between are left to other records.
+const tagInboxPartitionAdvanced recordTag = 32
+
 var decoders = map[recordTag]func(body []byte) (Record, error){
 	tagJobAccepted:        decodeAs[JobAccepted],
 	tagJobCancelled:       decodeAs[JobCancelled],
@@ -46,6 +49,8 @@
 	tagTasksSnapshot:      decodeAs[TasksSnapshot],
 	tagTaskCrashes:        decodeAs[TaskCrashes],
 	tagEvacuationChanged:  decodeAs[EvacuationChanged],
+
+	tagInboxPartitionAdvanced: decodeAs[InboxPartitionAdvanced],
 }
 
 // Encode returns the binary form of the record: codec version, tag and CBOR body.
--- a/gate/feed/link_monitor.go
+++ b/gate/feed/link_monitor.go
@@ -277,8 +277,8 @@
 }
 
 // Read reads records and records the log's answer.
-func (l observedLog) Read(ctx context.Context, topic string, from int64, wait time.Duration) (ports.Page, error) {
-	page, err := l.Log.Read(ctx, topic, from, wait)
+func (l observedLog) Read(ctx context.Context, topic string, partition int, from int64, wait time.Duration) (ports.Page, error) {
+	page, err := l.Log.Read(ctx, topic, partition, from, wait)
 	l.record(err)
 	return page, err
 }
--- a/gate/feed/link_monitor_test.go
+++ b/gate/feed/link_monitor_test.go
@@ -23,7 +23,7 @@
 }
 
 // Read returns an empty page after the wait.
-func (f *linkFakes) Read(ctx context.Context, _ string, from int64, wait time.Duration) (ports.Page, error) {
+func (f *linkFakes) Read(ctx context.Context, _ string, _ int, from int64, wait time.Duration) (ports.Page, error) {
 	if f.down.Load() {
 		<-ctx.Done()
 		return ports.Page{}, ports.ErrOutcomeUnknown
--- a/gate/intake/inbox_bound_test.go
+++ b/gate/intake/inbox_bound_test.go
@@ -21,7 +21,7 @@
 func TestFloodIsRefusedBeforeItIsSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := &scriptedLog{ends: make([]error, 1000)}
-		service := &Service{log: log}
+		service := &Service{inbox: inboxWriter{log: log, parts: 1}}
 		service.BoundInbox()
 		service.inboxBound.update(time.Now(), map[string]admit.Allowance{"hot": {Rate: 200, Burst: 400}})
 		store := func(pool string, outcomeUnknown bool) Reply {
--- a/gate/lead/term.go
+++ b/gate/lead/term.go
@@ -38,7 +38,7 @@
 	machinesArriving   atomic.Bool    // see sched.Scheduler.HasMachinesArriving
 	pendingReplies     []pendingReply // sent once the scheduler's current records are stored
 	heldOrders         []sched.Order  // held back until this gate may send orders again
-	inboxReadAt        time.Time      // all inbox records from before this time were applied
+	inboxReadAt        []time.Time    // by partition: all inbox records from before this time were applied
 	lastSnapshotAt     time.Time
 	bytesSinceSnapshot int // journal bytes that a new owner would replay in addition to the last snapshot
 	lastSnapshotBytes  int
@@ -53,7 +53,7 @@
 func newTerm(s *Service, epoch int64) *term {
 	return &term{
 		Service: s, epoch: epoch, scheduler: sched.New(s.deps.Options),
-		journal:         &journal{log: s.deps.Log, epoch: epoch},
+		journal:         newJournal(s.deps.Log, s.deps.Elector, epoch, s.deps.JournalParts),
 		results:         make(chan sched.OrderResult, resultQueueSize),
 		workerLists:     make(chan map[string]sched.WorkerEntry, 1),
 		machineLists:    make(chan machineList, 1),
@@ -72,11 +72,7 @@
 	defer cancel()
 	go t.cancelWhenLost(ctx, cancel)
 	started := time.Now()
-	if err := t.journal.fence(ctx); err != nil {
-		return err
-	}
-	fenced := time.Now()
-	replayedBytes, err := t.journal.replay(ctx, t.scheduler)
+	fenced, replayedBytes, err := t.journal.takeOver(ctx, t.scheduler)
 	if err != nil {
 		return err
 	}
@@ -117,13 +113,17 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go t.watchDirectory(ctx)
-	go t.watchInbox(ctx, t.scheduler.InboxOffset())
+	t.inboxReadAt = make([]time.Time, max(1, t.deps.InboxParts, t.scheduler.InboxPartitions()))
+	for partition := range t.inboxReadAt {
+		go t.watchInbox(ctx, partition, t.scheduler.InboxOffset(partition))
+	}
 	go t.watchMachines(ctx)
 	ticks := t.deps.Timers.Subscribe(tickPeriod)
 	defer ticks.Close()
 	defer t.evacuations.publish(nil)
 	for {
 		now := time.Now()
+		t.keepEndedJobs(now)
 		t.scheduler.Decide(now)
 		t.machinesArriving.Store(t.scheduler.HasMachinesArriving())
 		if t.scheduler.TakeMachineListRequest() {
--- a/gate/node/node.go
+++ b/gate/node/node.go
@@ -40,6 +40,10 @@
 	PeerGuard   *guard.Guard // bounds what other gates send, nil for no bound
 	Scheduler   sched.Options
 	InboxBound  bool // what gates store without the owner is bounded
+	// Partitions of the journal's topic on which the owner may continue it when one fails. With 0 or 1 it stays where it is.
+	JournalParts int
+	// Partitions of the inbox; less than 2 for the first one only.
+	InboxParts int
 }
 
 // Node is the job service of one gate.
@@ -73,9 +77,9 @@
 	n.lead = lead.New(lead.Deps{
 		Log: p.Log, Workers: p.Workers, Machines: p.Machines, Advisor: p.Advisor, Directory: p.Directory,
 		Operators: p.Operators, Elector: n.elector, Configs: n.configs, Timers: n.timers, Options: o.Scheduler,
-		CountGates: n.peers.Count,
+		CountGates: n.peers.Count, JournalParts: o.JournalParts, InboxParts: o.InboxParts,
 	})
-	n.intake = intake.New(n.lead, n.network, n.elector, n.configs, p.Log, o.Scheduler.MaxJobBytes())
+	n.intake = intake.New(n.lead, n.network, n.elector, n.configs, p.Log, o.Scheduler.MaxJobBytes(), o.InboxParts)
 	n.intake.RefuseWhile(n.links.IsCutOff)
 	if o.InboxBound {
 		n.intake.BoundInbox()
--- a/gate/owner/probe.go
+++ b/gate/owner/probe.go
@@ -13,7 +13,7 @@
 	e.mu.Lock()
 	from := e.nextOffset
 	e.mu.Unlock()
-	_, err := e.log.Read(ctx, topic, from, 0)
+	_, err := e.log.Read(ctx, topic, 0, from, 0)
 	if errors.Is(err, ports.ErrTrimmed) {
 		return nil
 	}
--- a/stand/cloud/gates_test.go
+++ b/stand/cloud/gates_test.go
@@ -27,6 +27,8 @@
 	operators *Operators
 	gates     map[string]*runningGate
 	lastID    int
+	// Partitions on which the journal may continue, 0 for none.
+	journalParts int
 }
 
 type runningGate struct {
@@ -47,7 +49,13 @@
 
 // newDeploymentWithCores starts one gate for each number of cores.
 func newDeploymentWithCores(t *testing.T, cores ...float64) *deployment {
+	return startDeployment(t, 0, cores...)
+}
+
+// startDeployment starts one gate for each number of cores, whose journal may continue on the given number of partitions.
+func startDeployment(t *testing.T, journalParts int, cores ...float64) *deployment {
 	d := newEmptyDeployment(t)
+	d.journalParts = journalParts
 	for i, processor := range cores {
 		d.startGate(fmt.Sprintf("gate-%d", i+1), processor)
 	}
@@ -75,7 +83,7 @@
 }
 
 func (d *deployment) startGate(name string, processor float64) {
-	d.startGateWith(node.Options{Name: name, Processor: processor})
+	d.startGateWith(node.Options{Name: name, Processor: processor, JournalParts: d.journalParts})
 }
 
 // startGateWith starts a gate with the given options at a free address.
