gate/peers: bound the memory of messages that were read

The memory of a peer's message counted as free as soon as it was read. The decoder kept a buffer as large as the largest message for as long as the connection lived, and a message that waited for a slot was held uncharged: with 256 connections and messages of 512 KB, some 1 MB and 512 KB for each.

--- a/gate/peers/network.go
+++ b/gate/peers/network.go
@@ -123,15 +123,15 @@
 }
 
 func (n *Network) accept(ctx context.Context, conn net.Conn) {
-	var onReceive []jsonrpc2.ConnOpt
 	inner := conn
 	if encrypted, ok := conn.(*tls.Conn); ok {
 		inner = encrypted.NetConn()
 	}
+	finishMessage := func() {}
 	if guarded, ok := inner.(*guard.Conn); ok {
-		onReceive = append(onReceive, jsonrpc2.OnRecv(func(*jsonrpc2.Request, *jsonrpc2.Response) { guarded.FinishMessage() }))
+		finishMessage = guarded.FinishMessage
 	}
-	rpc := n.newRPCConn(ctx, n.traffic.wrap(conn), onReceive...)
+	rpc := n.newRPCConn(ctx, n.traffic.wrap(conn), finishMessage)
 	n.mu.Lock()
 	n.incoming[rpc] = true
 	n.mu.Unlock()
@@ -142,10 +142,15 @@
 	})
 }
 
-func (n *Network) newRPCConn(ctx context.Context, conn net.Conn, more ...jsonrpc2.ConnOpt) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewPlainObjectStream(conn)
-	options := append([]jsonrpc2.ConnOpt{withoutLogging(), jsonrpc2.OnSend(n.addTimestamp), jsonrpc2.OnRecv(n.observeMessage)}, more...)
-	return jsonrpc2.NewConn(ctx, stream, newRPCHandler(n), options...)
+// newRPCConn starts to serve the connection. finishMessage is called once a message was read and the memory that it takes is bounded otherwise.
+func (n *Network) newRPCConn(ctx context.Context, conn net.Conn, finishMessage func()) *jsonrpc2.Conn {
+	finishResponse := func(_ *jsonrpc2.Request, resp *jsonrpc2.Response) {
+		if resp != nil {
+			finishMessage()
+		}
+	}
+	return jsonrpc2.NewConn(ctx, newObjectStream(conn), newRPCHandler(n, finishMessage), withoutLogging(),
+		jsonrpc2.OnSend(n.addTimestamp), jsonrpc2.OnRecv(n.observeMessage), jsonrpc2.OnRecv(finishResponse))
 }
 
 // connContext returns a context that is cancelled when the connection closes.
@@ -171,13 +176,19 @@
 	}
 }
 
-type rpcHandler struct{ n *Network }
+type rpcHandler struct {
+	n             *Network
+	finishMessage func()
+}
 
-func newRPCHandler(n *Network) jsonrpc2.Handler { return rpcHandler{n} }
+func newRPCHandler(n *Network, finishMessage func()) jsonrpc2.Handler {
+	return rpcHandler{n, finishMessage}
+}
 
 // Handle handles one request of another gate in the background. While too many are being handled, it waits.
 func (h rpcHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	release := h.n.requests.acquire(req)
+	h.finishMessage()
 	go func() {
 		defer release()
 		h.handle(ctx, conn, req)
@@ -256,7 +267,7 @@
 		return nil, err
 	}
 	counted := n.traffic.wrap(conn)
-	c.conn, c.lastReceived = n.newRPCConn(context.Background(), counted), counted.lastReceived
+	c.conn, c.lastReceived = n.newRPCConn(context.Background(), counted, func() {}), counted.lastReceived
 	return c.conn, nil
 }
 
