gate/guard: the line end after a peer's message begins no other

Each message of a peer ends with a line end that belongs to no message. When it was read apart from the message, the guard took it for the first byte of another, and closed the quiet connection after 10 s.

TestLineEndReadApartBeginsNoMessage fails without the change (EOF).

--- a/gate/guard/conn.go
+++ b/gate/guard/conn.go
@@ -47,6 +47,8 @@
 	net.Conn
 	guard *Guard
 	entry *Entry
+	// A message was finished, and the line end that follows it was not read yet. Used by the reader only.
+	isLineEndDue bool
 
 	mu      sync.Mutex
 	isEnded bool
@@ -59,6 +61,11 @@
 	if n == 0 {
 		return n, err
 	}
+	isLineEnd := c.isLineEndDue && n == 1 && p[0] == '\n'
+	c.isLineEndDue = false
+	if isLineEnd {
+		return n, err
+	}
 	now := time.Now()
 	header, goesOn := c.guard.table.Receive(c.entry, n, now)
 	if !goesOn {
@@ -177,8 +184,12 @@
 	return err
 }
 
-// FinishMessage notes that a whole message of a peer was read.
-func (c *Conn) FinishMessage() { c.guard.table.FinishMessage(c.entry, time.Now()) }
+// FinishMessage notes that a whole message of a peer was read. The line end after it may arrive later, and doesn't begin another message. It must
+// not be called during a Read.
+func (c *Conn) FinishMessage() {
+	c.isLineEndDue = true
+	c.guard.table.FinishMessage(c.entry, time.Now())
+}
 
 // end carries out what the table has decided. A request whose header was read can still be answered.
 func (c *Conn) end(reason Reason) {
--- a/gate/peers/object_stream_test.go
+++ b/gate/peers/object_stream_test.go
@@ -108,3 +108,32 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against closing a quiet connection because the line end of its last message was read apart from it: the guard took that for the beginning
+// of another message, which never came.
+func TestLineEndReadApartBeginsNoMessage(t *testing.T) {
+	const messageTime = 100 * time.Millisecond
+	n := newTestNetwork(freeAddress(t))
+	n.Protect(guard.New(guard.Options{Port: t.Name(), Memory: 1 << 20, Connections: 4, Limits: func() guard.Limits {
+		return guard.Limits{HeaderTimeout: messageTime}
+	}}))
+	address := serveMethod(t, n, "echo", func(context.Context, json.RawMessage) (any, error) { return "here", nil })
+	var conn net.Conn
+	assert.NilError(t, eventually(func() (err error) {
+		conn, err = net.Dial("tcp", address)
+		return err
+	}))
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(hangLimit)))
+	answers := json.NewDecoder(conn)
+	for range 2 {
+		var answer struct{ Result string }
+		_, err := fmt.Fprint(conn, `{"jsonrpc":"2.0","id":1,"method":"echo"}`)
+		assert.NilError(t, err)
+		assert.NilError(t, answers.Decode(&answer))
+		assert.Equal(t, answer.Result, "here")
+		_, err = fmt.Fprint(conn, "\n")
+		assert.NilError(t, err)
+		time.Sleep(5 * messageTime)
+	}
+}
