--- a/gate/guard/body.go
+++ b/gate/guard/body.go
@@ -13,7 +13,8 @@
 	bodyCopies = 4
 )
 
-// EndedError means that a request was ended before it was complete. It was not run.
+// EndedError means that a request was ended before it was complete. It was not run. Its connection must be closed after the answer, since nothing more
+// is read from it.
 type EndedError struct{ reason Reason }
 
 // Reason returns why the request was ended.
@@ -38,7 +39,6 @@
 		return nil, err
 	}
 	if reason := c.ended(); reason != "" {
-		w.Header().Set("Connection", "close")
 		return nil, &EndedError{reason}
 	}
 	return body, err
