--- a/gate/guard/conn.go
+++ b/gate/guard/conn.go
@@ -26,6 +26,9 @@
 	drainTime     = 300 * time.Millisecond
 	maxDrainReads = 64
 
+	// A client must take this much within the write timeout. A configuration of several megabytes takes longer than that as a whole on a slow link.
+	writePartBytes = 64 << 10
+
 	headerTooLargeAnswer = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
@@ -44,6 +47,8 @@
 	net.Conn
 	guard *Guard
 	entry *Entry
+	// A message was finished, and the line end that follows it was not read yet. Used by the reader only.
+	isLineEndDue bool
 
 	mu      sync.Mutex
 	isEnded bool
@@ -56,6 +61,11 @@
 	if n == 0 {
 		return n, err
 	}
+	isLineEnd := c.isLineEndDue && n == 1 && p[0] == '\n'
+	c.isLineEndDue = false
+	if isLineEnd {
+		return n, err
+	}
 	now := time.Now()
 	header, goesOn := c.guard.table.Receive(c.entry, n, now)
 	if !goesOn {
@@ -116,8 +126,22 @@
 	}
 }
 
-// Write writes to the client. A client that takes longer than the write timeout loses its connection, so that what waits for this write fails too.
+// Write writes to the client. A client that takes nothing for the write timeout loses its connection, so that what waits for this write fails too.
 func (c *Conn) Write(p []byte) (int, error) {
+	defer c.guard.table.SetWriting(c.entry, time.Time{})
+	written := 0
+	for {
+		part := p[written:min(len(p), written+writePartBytes)]
+		n, err := c.writePart(part)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// writePart writes a part of an answer within the write timeout.
+func (c *Conn) writePart(part []byte) (int, error) {
 	now := time.Now()
 	if timeout := c.guard.options.Limits().WriteTimeout; timeout > 0 {
 		if err := c.SetWriteDeadline(now.Add(timeout)); err != nil {
@@ -125,8 +149,7 @@
 		}
 	}
 	c.guard.table.SetWriting(c.entry, now)
-	defer c.guard.table.SetWriting(c.entry, time.Time{})
-	n, err := c.Conn.Write(p)
+	n, err := c.Conn.Write(part)
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.guard.table.End(c.entry, WriteTimeout) {
 		c.end(WriteTimeout)
 	}
@@ -161,8 +184,12 @@
 	return err
 }
 
-// FinishMessage notes that a whole message of a peer was read.
-func (c *Conn) FinishMessage() { c.guard.table.FinishMessage(c.entry, time.Now()) }
+// FinishMessage notes that a whole message of a peer was read. The line end after it may arrive later, and doesn't begin another message. It must
+// not be called during a Read.
+func (c *Conn) FinishMessage() {
+	c.isLineEndDue = true
+	c.guard.table.FinishMessage(c.entry, time.Now())
+}
 
 // end carries out what the table has decided. A request whose header was read can still be answered.
 func (c *Conn) end(reason Reason) {
