core/sched: count a draining machine once in the timelines

A worker keeps its surplus mark when it is idle, has an order to move, is drained for maintenance or falls silent. Its machine counted as draining, and also as a donor or as under way; the last two kinds don't come at all. Draining machines are now healthy, busy ones that may move.

--- a/core/sched/capacity.go
+++ b/core/sched/capacity.go
@@ -168,7 +168,8 @@
 	}
 	for _, w := range sc.workersByID {
 		m := sc.machines[w.entry.Machine]
-		if !w.surplus || m == nil || lacking == 0 {
+		// Idle ones are donors, and those with an order are under way: both are counted already.
+		if !w.surplus || m == nil || lacking == 0 || w.isIdle() || !w.isHealthy() || !sc.canMove(now, m) {
 			continue
 		}
 		empty := time.Duration(0)
--- /dev/null
+++ b/core/sched/capacity_test.go
@@ -0,0 +1,42 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangowing/core/admit"
+)
+
+// Guards against a machine that counts twice while it is drained and moved: as a draining one, and as a donor or as one under way.
+func TestDrainingMachineCountsOnce(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		change   func(sc *Scheduler, w *worker)
+		expected float64
+	}{
+		{"busy", func(*Scheduler, *worker) {}, loadCores},
+		{"idle, a donor", func(_ *Scheduler, w *worker) { w.runs = nil }, 0},
+		{"ordered to move", func(sc *Scheduler, w *worker) { sc.machines[w.entry.Machine].targetPool = "pool-0" }, 0},
+		{"for maintenance", func(sc *Scheduler, w *worker) { sc.machines[w.entry.Machine].maintenanceWave = 1 }, 0},
+		{"silent", func(_ *Scheduler, w *worker) { w.unanswered = 100 }, 0},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			b := newLoadBench(true)
+			b.run(time.Second)
+			var w *worker
+			for _, w = range b.sc.workersByID {
+				if w.entry.Pool == "pool-1" {
+					break
+				}
+			}
+			w.surplus, w.runs = true, map[runKey]*run{{}: nil}
+			s.change(b.sc, w)
+			b.sc.admission.pools = map[string]*admit.Timeline{"pool-0": {}}
+			b.sc.addDrainingMachines(b.now, map[string]*poolDemand{"pool-0": {name: "pool-0", needed: 1}})
+			assert.Equal(t, b.sc.admission.pools["pool-0"].CoresAt(10*time.Second), s.expected)
+		})
+	}
+}
