core/sched: offers count best-effort tasks against the team's limit

The offer took the reservation of a task, which is without CPU for best-effort tasks, where promises and running tasks take what counts against the limit. A job of 1,000 such tasks was accepted in a team with 64 cores; it is refused now.

--- a/core/sched/admission.go
+++ b/core/sched/admission.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"mangowing/core/admit"
-	"mangowing/core/setup"
 )
 
 // longestExpectation bounds how far ahead a refused client is told that capacity is expected. Clients give up after about three seconds,
@@ -45,11 +44,11 @@
 	if pool == nil || !sc.hasCapacity(spec.Pool) {
 		return Refusal{}, admit.OfferedInTime
 	}
-	job := admissionJob(spec, setup.Resources.Cores)
+	job := admissionJob(spec, func(s *StepSpec) float64 { return s.Reservation().Cores() })
 	offer := pool.Offer(job)
 	team, teamJob := sc.teamTimeline(spec.Team), admit.Job{}
 	if team != nil && offer != admit.Refused {
-		teamJob = admissionJob(spec, coresWithoutGPUs)
+		teamJob = admissionJob(spec, func(s *StepSpec) float64 { return coresWithoutGPUs(s.QuotaUsage()) })
 		if limited := team.Offer(teamJob); limited != admit.OfferedInTime {
 			offer = limited
 		}
@@ -146,8 +145,8 @@
 	}
 }
 
-// admissionJob returns what a new job asks for.
-func admissionJob(spec *JobSpec, coresOf func(setup.Resources) float64) admit.Job {
+// admissionJob returns what a new job asks for, given the cores that a task of a step takes.
+func admissionJob(spec *JobSpec, coresOf func(*StepSpec) float64) admit.Job {
 	maxOnTimeWait, maxUsefulWait := allowedWait(spec)
 	criticalPath := (&job{spec: spec}).criticalPath(allSteps)
 	a := admit.Job{Deadline: maxOnTimeWait + criticalPath, UsefulFor: maxUsefulWait + criticalPath, OverShare: spec.OverShare}
@@ -161,7 +160,7 @@
 		after := step.waitFor(ends, n)
 		ends[n] = after + step.Estimate()
 		a.Steps = append(a.Steps, admit.Step{
-			Cores: float64(step.Count) * coresOf(step.Reservation()), Estimate: step.Estimate(), After: after, Before: before[n],
+			Cores: float64(step.Count) * coresOf(step), Estimate: step.Estimate(), After: after, Before: before[n],
 		})
 	}
 	return a
--- a/core/sched/capacity_test.go
+++ b/core/sched/capacity_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"mangowing/core/admit"
+	"mangowing/core/setup"
 )
 
 // Guards against a machine that counts twice while it is drained and moved: as a draining one, and as a donor or as one under way.
@@ -40,3 +41,14 @@
 		})
 	}
 }
+
+// Guards against a limit that tasks without a reservation don't count against when they are offered: they count once they are accepted.
+func TestBestEffortTasksCountAgainstTheLimit(t *testing.T) {
+	b := newLoadBench(true, setup.Team{Name: "a", Limit: setup.Resources{CPU: 64000}})
+	b.run(time.Second)
+	step := oneCoreStep(1000)
+	step.BestEffort = true
+	r, offer := b.sc.checkTimeline(&JobSpec{ID: "x", Queue: "pool-0", Pool: "pool-0", Team: "a", Steps: []StepSpec{step}, Slack: 1.6, TargetMs: 600})
+	assert.Equal(t, offer, admit.Refused)
+	assert.Equal(t, r.cause, teamLimitExceeded)
+}
