core/sched: inbox jobs take no tokens for the time before them

A job from the inbox takes its token at the time of its acceptance. If its team had submitted a job in the meantime, the refill was negative: six seconds back emptied a full bucket of four seconds, and the jobs of a team within its share became late work. Earlier times now find the tokens of the last refill.

--- a/core/sched/load_patterns_test.go
+++ b/core/sched/load_patterns_test.go
@@ -351,3 +351,15 @@
 	assert.Assert(t, refused && r.RetryAfter() >= 10*time.Second)
 	assert.Equal(t, r.Cause(), "owner-busy")
 }
+
+// Jobs from the inbox that are read after a new job of their team, as after a takeover. Guards against an ordinary team whose bucket is
+// emptied by the time that lies between them.
+func TestEarlierTimesTakeNoFurtherTokens(t *testing.T) {
+	var bucket shareBucket
+	assert.Assert(t, bucket.takeToken(testStart, 5))
+	for i := range 19 {
+		assert.Assert(t, bucket.takeToken(testStart.Add(time.Duration(i-60)*100*time.Millisecond), 5), "job %d", i)
+	}
+	assert.Assert(t, !bucket.takeToken(testStart.Add(-time.Second), 5), "the burst is used up")
+	assert.Assert(t, bucket.takeToken(testStart.Add(time.Second), 5))
+}
--- a/core/sched/overload.go
+++ b/core/sched/overload.go
@@ -24,15 +24,16 @@
 	refilledAt time.Time
 }
 
-// takeToken refills the bucket at the given rate, and reports whether a token was left for a new job.
+// takeToken refills the bucket at the given rate, and reports whether a token was left for a new job. Jobs from the inbox come with
+// earlier times than those submitted before them: they find the tokens of the last refill.
 func (s *shareBucket) takeToken(now time.Time, jobsPerSecond float64) bool {
 	burst := jobsPerSecond * shareBurst.Seconds()
-	if s.refilledAt.IsZero() {
-		s.tokens = burst
-	} else {
-		s.tokens = min(burst, s.tokens+jobsPerSecond*now.Sub(s.refilledAt).Seconds())
+	switch {
+	case s.refilledAt.IsZero():
+		s.tokens, s.refilledAt = burst, now
+	case now.After(s.refilledAt):
+		s.tokens, s.refilledAt = min(burst, s.tokens+jobsPerSecond*now.Sub(s.refilledAt).Seconds()), now
 	}
-	s.refilledAt = now
 	if s.tokens < 1 {
 		return false
 	}
