core/admit: bound how long a large job blocks the inbox

A job could take any number of core-seconds from the bucket of its pool: one of 1e6 kept all others of that pool out of the gate's inbox for hours, in later outages too. It blocks them for 30 s at most.

--- a/core/admit/allowance.go
+++ b/core/admit/allowance.go
@@ -17,6 +17,8 @@
 	unevenGates = 2
 	// The burst is the work of this time.
 	allowanceBurst = 2 * time.Second
+	// A job of hours of work would otherwise keep all others of its pool out for as long.
+	maxAllowanceDebt = 30 * time.Second
 )
 
 // AllowanceOf returns what one of the given number of gates may store of a pool with the given cores.
@@ -31,8 +33,8 @@
 	refilledAt time.Time
 }
 
-// Take takes a job's core-seconds out of the bucket if it isn't empty, so that a job may be larger than the burst. Otherwise it returns
-// after what time the bucket won't be empty.
+// Take takes a job's core-seconds out of the bucket if it isn't empty, so that a job may be larger than the burst; it blocks the
+// next one for at most maxAllowanceDebt. Otherwise it returns after what time the bucket won't be empty.
 func (b *Bucket) Take(now time.Time, a Allowance, coreSeconds float64) (wait time.Duration, taken bool) {
 	if !b.refilledAt.IsZero() {
 		b.spent = max(0, b.spent-a.Rate*now.Sub(b.refilledAt).Seconds())
@@ -41,6 +43,6 @@
 	if b.spent >= a.Burst {
 		return SlotTime + time.Duration((b.spent-a.Burst)/a.Rate*float64(time.Second)), false
 	}
-	b.spent += coreSeconds
+	b.spent = min(b.spent+coreSeconds, a.Burst+a.Rate*maxAllowanceDebt.Seconds())
 	return 0, true
 }
--- a/core/admit/allowance_test.go
+++ b/core/admit/allowance_test.go
@@ -30,3 +30,15 @@
 	assert.Assert(t, !taken && wait >= 10*time.Second, "%v", wait)
 	assert.Equal(t, AllowanceOf(0, 100), DefaultAllowance)
 }
+
+// Guards against one job of a day's work that keeps all others of its pool out long after the outage.
+func TestLargeJobBlocksOthersForABoundedTime(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	var b Bucket
+	_, taken := b.Take(now, DefaultAllowance, 1e9)
+	assert.Assert(t, taken)
+	_, taken = b.Take(now.Add(maxAllowanceDebt-time.Second), DefaultAllowance, 1)
+	assert.Assert(t, !taken)
+	_, taken = b.Take(now.Add(maxAllowanceDebt+time.Second), DefaultAllowance, 1)
+	assert.Assert(t, taken)
+}
