--- a/core/sched/admission.go
+++ b/core/sched/admission.go
@@ -15,7 +15,7 @@
 	if !sc.options.AdmissionTimeline {
 		return sc.checkOverload(spec)
 	}
-	r, offer := sc.checkTimeline(spec)
+	r, offer := sc.checkTimeline(now, spec)
 	refused := offer == admit.Refused
 	sc.counters.offers[offer][r.cause]++
 	if spec.OverShare || spec.IsLongRunning() || spec.IsTimed() {
@@ -33,7 +33,7 @@
 
 // checkTimeline returns what a new job is offered by the timelines of its pool and of its team's resource limit, and why if it is refused.
 // The capacity that an accepted job needs is promised to it at once.
-func (sc *Scheduler) checkTimeline(spec *JobSpec) (Refusal, admit.Offer) {
+func (sc *Scheduler) checkTimeline(now time.Time, spec *JobSpec) (Refusal, admit.Offer) {
 	if spec.IsLongRunning() || spec.IsTimed() {
 		return Refusal{}, admit.OfferedInTime
 	}
@@ -44,11 +44,11 @@
 	if pool == nil || !sc.hasCapacity(spec.Pool) {
 		return Refusal{}, admit.OfferedInTime
 	}
-	job := admissionJob(spec, func(s *StepSpec) float64 { return s.Reservation().Cores() })
+	job := admissionJob(now, spec, func(s *StepSpec) float64 { return s.Reservation().Cores() })
 	offer := pool.Offer(job)
 	team, teamJob := sc.teamTimeline(spec.Team), admit.Job{}
 	if team != nil && offer != admit.Refused {
-		teamJob = admissionJob(spec, func(s *StepSpec) float64 { return coresWithoutGPUs(s.QuotaUsage()) })
+		teamJob = admissionJob(now, spec, func(s *StepSpec) float64 { return coresWithoutGPUs(s.QuotaUsage()) })
 		if limited := team.Offer(teamJob); limited != admit.OfferedInTime {
 			offer = limited
 		}
@@ -145,11 +145,16 @@
 	}
 }
 
-// admissionJob returns what a new job asks for, given the cores that a task of a step takes.
-func admissionJob(spec *JobSpec, coresOf func(*StepSpec) float64) admit.Job {
+// admissionJob returns what a new job asks for, given the cores that a task of a step takes. Its gate may have looked for an owner for
+// seconds since it received the job.
+func admissionJob(now time.Time, spec *JobSpec, coresOf func(*StepSpec) float64) admit.Job {
 	maxOnTimeWait, maxUsefulWait := allowedWait(spec)
 	criticalPath := (&job{spec: spec}).criticalPath(allSteps)
 	a := admit.Job{Deadline: maxOnTimeWait + criticalPath, UsefulFor: maxUsefulWait + criticalPath, OverShare: spec.OverShare}
+	if spec.FirstReceivedMs != 0 {
+		waited := max(0, now.Sub(time.UnixMilli(spec.FirstReceivedMs)))
+		a.Deadline, a.UsefulFor = a.Deadline-waited, a.UsefulFor-waited
+	}
 	if !spec.OverShare {
 		a.Deadline -= startMargin(spec, criticalPath)
 	}
--- a/core/sched/capacity_test.go
+++ b/core/sched/capacity_test.go
@@ -48,7 +48,7 @@
 	b.run(time.Second)
 	step := oneCoreStep(1000)
 	step.BestEffort = true
-	r, offer := b.sc.checkTimeline(&JobSpec{ID: "x", Queue: "pool-0", Pool: "pool-0", Team: "a", Steps: []StepSpec{step}, Slack: 1.6, TargetMs: 600})
+	r, offer := b.sc.checkTimeline(b.now, &JobSpec{ID: "x", Queue: "pool-0", Pool: "pool-0", Team: "a", Steps: []StepSpec{step}, Slack: 1.6, TargetMs: 600})
 	assert.Equal(t, offer, admit.Refused)
 	assert.Equal(t, r.cause, teamLimitExceeded)
 }
@@ -90,3 +90,16 @@
 		})
 	}
 }
+
+// Guards against offers by a time that has passed: a gate has looked for an owner for some seconds before the job reached it.
+func TestOffersCountFromTheReceipt(t *testing.T) {
+	for _, waited := range []time.Duration{0, 1200 * time.Millisecond, 5 * time.Second} {
+		b := newLoadBench(true)
+		b.run(time.Second)
+		spec := JobSpec{ID: "x", Queue: "pool-0", Pool: "pool-0", Team: "a", Steps: shortSteps(), Slack: 1.6, TargetMs: 600}
+		spec.FirstReceivedMs = b.now.Add(-waited).UnixMilli()
+		_, offer := b.sc.checkTimeline(b.now, &spec)
+		expected := map[time.Duration]admit.Offer{0: admit.OfferedInTime, 1200 * time.Millisecond: admit.OfferedLate, 5 * time.Second: admit.Refused}
+		assert.Equal(t, offer, expected[waited], "after %v", waited)
+	}
+}
--- a/core/sched/load_bench_test.go
+++ b/core/sched/load_bench_test.go
@@ -242,7 +242,7 @@
 		for range 10 {
 			f.sc.planAdmission(f.now, byMachine, f.sc.demand)
 			for range 100 {
-				_, _ = f.sc.checkTimeline(&spec)
+				_, _ = f.sc.checkTimeline(f.now, &spec)
 			}
 		}
 	}
