core/sched: retries of a refused job take no token of its team's share

Cause: a refusal gave the token back, so that all submissions of a hot team counted as within its share (found by the review of admission). Change: the first submission takes a token, its retries take none.

--- a/core/sched/admission.go
+++ b/core/sched/admission.go
@@ -21,11 +21,10 @@
 	if spec.OverShare || spec.IsLongRunning() || spec.IsTimed() {
 		return r, refused
 	}
-	if _, isRetry := sc.admission.refused[spec.ID]; !isRetry {
+	if !sc.isRetryOfRefused(spec.ID) {
 		sc.measureTeam(now, spec)
 	}
 	if refused {
-		sc.returnShare(spec)
 		sc.recordRefusedWork(now, spec, r.cause)
 	}
 	return r, refused
@@ -106,11 +105,11 @@
 	}
 }
 
-// returnShare gives back what a refused job took of its team's rate of new jobs: it will ask again.
-func (sc *Scheduler) returnShare(spec *JobSpec) {
-	if t, declared := sc.cfg.Team(spec.Team); declared && t.Weight > 0 {
-		sc.ensureTeam(spec.Team).share.tokens++
-	}
+// isRetryOfRefused reports whether the job was refused lately although its team's share allowed it. Its first submission took a token of
+// the share, so that its retries take none; if a refusal gave the token back, all submissions of a hot team would count as within its share.
+func (sc *Scheduler) isRetryOfRefused(id string) bool {
+	_, found := sc.admission.refused[id]
+	return found
 }
 
 // measureTeam records the work of a new job as an arrival of its team if that has a resource limit.
@@ -133,7 +132,7 @@
 // recordRefusedWork records the work of a job that its pool had no room for as an arrival there, so that machines are moved for demand
 // that isn't accepted yet. Its retries are not recorded again.
 func (sc *Scheduler) recordRefusedWork(now time.Time, spec *JobSpec, cause refusalCause) {
-	if _, isRetry := sc.admission.refused[spec.ID]; isRetry {
+	if sc.isRetryOfRefused(spec.ID) {
 		return
 	}
 	if sc.admission.refused == nil {
--- a/core/sched/admission_test.go
+++ b/core/sched/admission_test.go
@@ -148,3 +148,26 @@
 	assert.Equal(t, New(Options{}).machinesToKeep(d), 52)
 	assert.Equal(t, New(Options{AdmissionTimeline: true}).machinesToKeep(d), 40)
 }
+
+// A hot team's jobs are refused and submitted again. Guards against retries that use up the team's share, and against a share that grows since
+// refusals give it back.
+func TestRetriesTakeNothingOfTheShare(t *testing.T) {
+	b := newTestBench(t, 1)
+	b.sc.options.AdmissionTimeline = true
+	job := func(id string) JobSpec {
+		return JobSpec{
+			ID: id, Queue: "plans", Pool: "pots", Team: "floor", Steps: []StepSpec{oneCoreStep(40)}, Slack: 1.6, TargetMs: 600, FirstReceivedMs: b.now.UnixMilli(),
+		}
+	}
+	submit := func(id string) string {
+		result, r := b.sc.Submit(b.now, job(id))
+		assert.Equal(t, result, Overloaded)
+		return r.Cause()
+	}
+	const burst = 20 // the weight of the team times the seconds of its burst
+	for i := range burst {
+		assert.Equal(t, submit(fmt.Sprint("new", i)), "pool-full")
+	}
+	assert.Equal(t, submit("new0"), "pool-full", "a retry")
+	assert.Equal(t, submit("more"), "share-used")
+}
--- a/core/sched/intake.go
+++ b/core/sched/intake.go
@@ -32,7 +32,7 @@
 	if r, refused := sc.refuseEvacuated(&spec); refused {
 		return Overloaded, r
 	}
-	spec.OverShare = sc.exceedsShare(now, &spec)
+	spec.OverShare = !sc.isRetryOfRefused(spec.ID) && sc.exceedsShare(now, &spec)
 	if r, refused := sc.checkAdmission(now, &spec); refused {
 		return Overloaded, r
 	}
