gate/owner: deleted records that held nothing new end no ownership

Cause: an owner whose own heartbeats were deleted unread gave up, and all gates forgot the segment, so that an old mark decided. Change: only records after the known end count as missed; the known segment is kept as a lower bound; the newest record by offset names it. Result: the two new tests fail without the change and pass with it; race detector on gate/owner passes.

--- a/gate/owner/elector.go
+++ b/gate/owner/elector.go
@@ -61,8 +61,10 @@
 	missedAt      time.Duration // when records were last found to be trimmed before this gate had read them
 	// The heartbeats of all owners before the latest one were sent before this time.
 	predecessorSeenAt time.Duration
-	segment           segs.Segment // of the journal, as the latest record has it
+	segment           segs.Segment // of the journal, as the latest record that names one has it
+	segmentOffset     int64        // of that record
 	hasSegment        bool         // a record has named a segment
+	mayMissSegment    bool         // records that may have named a later segment were deleted unread
 	latencies         segs.Latencies
 	candidate         Candidate
 }
@@ -245,9 +247,10 @@
 	if errors.Is(err, ports.ErrTrimmed) {
 		e.mu.Lock()
 		e.nextOffset, e.missedAt = page.OldestOffset, timer.SinceBoot()
-		missedClaim := e.ownEpoch != 0 && e.hasSegment
-		// The records that are left name the segment, or else the mark does.
-		e.segment, e.hasSegment = segs.Segment{}, false
+		// Records before topicEnd were read, or appended by this gate alone.
+		missed := page.OldestOffset > e.topicEnd
+		missedClaim := missed && e.ownEpoch != 0 && e.hasSegment
+		e.mayMissSegment = e.mayMissSegment || missed
 		e.mu.Unlock()
 		if missedClaim {
 			// The missed records may contain another gate's claim.
@@ -372,7 +375,7 @@
 		e.recordHeartbeat(n.Number)
 	}
 	if n.Kind == kindSegment {
-		e.applySegment(*n.Segment)
+		e.applySegment(offset, *n.Segment)
 	}
 	return offset, nil
 }
--- a/gate/owner/record.go
+++ b/gate/owner/record.go
@@ -42,7 +42,7 @@
 	}
 	now := timer.SinceBoot()
 	if n.Segment != nil {
-		e.applySegment(*n.Segment)
+		e.applySegment(offset, *n.Segment)
 	}
 	switch n.Kind {
 	case kindClaim:
--- a/gate/owner/segment.go
+++ b/gate/owner/segment.go
@@ -17,41 +17,52 @@
 // ErrNotOwner means that this gate doesn't have the epoch under which it wanted to append.
 var ErrNotOwner = eris.New("this gate is not the owner any more")
 
-// Segment returns the segment of the journal that counts, and false if no record of the topic has named one.
-func (e *Elector) Segment() (segs.Segment, bool) {
+// Segment returns the segment of the journal that the newest record known to this gate names, the zero Segment if none does. isCurrent is false
+// if a later one may count: no record has named a segment, or records were deleted before this gate has read them.
+func (e *Elector) Segment() (s segs.Segment, isCurrent bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.segment, e.hasSegment
+	return e.segment, e.knowsSegment()
 }
 
+// knowsSegment reports whether the segment is the one that counts. The lock must be held.
+func (e *Elector) knowsSegment() bool { return e.hasSegment && !e.mayMissSegment }
+
 // MarkSegment records the place of a whole snapshot in the current segment, which the next heartbeats carry. It does nothing if this
 // gate isn't owner under the epoch.
 func (e *Elector) MarkSegment(epoch int64, s segs.Segment) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.ownEpoch == epoch && (!e.hasSegment || e.segment.Number == s.Number) {
-		e.applySegment(s)
+	switch {
+	case e.ownEpoch != epoch:
+	case !e.knowsSegment():
+		e.segment, e.hasSegment, e.mayMissSegment = s, true, false
+	case e.segment.Number == s.Number:
+		e.segment = e.segment.Merge(s)
 	}
 }
 
-// applySegment adopts a segment that was read or written, unless a later one is known. The lock must be held.
-func (e *Elector) applySegment(s segs.Segment) {
+// applySegment adopts the segment that the record at the offset names, unless a later record was applied before. Records are ordered by their
+// offsets rather than by the segments' numbers: an owner that knew only an old mark may have continued an earlier segment. The lock must be held.
+func (e *Elector) applySegment(offset int64, s segs.Segment) {
 	if !s.IsValid() {
 		klog.InfoS("owner-record-unreadable", "why", "segment out of range", "segment", s.Number, "partition", s.Partition)
 		return
 	}
-	if e.hasSegment {
-		s = e.segment.Merge(s)
+	if e.hasSegment && offset < e.segmentOffset {
+		return
 	}
-	if s.Number != e.segment.Number {
+	if s.Number != e.segment.Number || s.Epoch != e.segment.Epoch {
 		klog.InfoS("journal-segment", "segment", s.Number, "partition", s.Partition, "epoch", s.Epoch, "start", s.Start)
+	} else if e.hasSegment {
+		s = e.segment.Merge(s)
 	}
-	e.segment, e.hasSegment = s, true
+	e.segment, e.segmentOffset, e.hasSegment, e.mayMissSegment = s, offset, true, false
 }
 
 // knownSegment returns the segment to be carried by a record, nil if none is known. The lock must be held.
 func (e *Elector) knownSegment() *segs.Segment {
-	if !e.hasSegment {
+	if !e.knowsSegment() {
 		return nil
 	}
 	s := e.segment
--- a/gate/owner/segment_test.go
+++ b/gate/owner/segment_test.go
@@ -12,12 +12,13 @@
 	"mangowing/gate/segs"
 )
 
-// topicLog is the owner topic. It loses the answers to the given number of appends, which take effect.
+// topicLog is the owner topic. It loses the answers to the given number of appends, which take effect. Records before oldest are deleted.
 type topicLog struct {
 	ports.Log
 	mu      sync.Mutex
 	records [][]byte
 	lost    int
+	oldest  int64
 }
 
 // Append appends if the topic ends as expected.
@@ -40,6 +41,9 @@
 func (l *topicLog) Read(_ context.Context, _ string, _ int, from int64, _ time.Duration) (ports.Page, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if from < l.oldest {
+		return ports.Page{OldestOffset: l.oldest}, ports.ErrTrimmed
+	}
 	return ports.Page{Records: l.records[from:], StartOffset: from, EndOffset: int64(len(l.records))}, nil
 }
 
@@ -106,3 +110,50 @@
 	known, _ := successor.Segment()
 	assert.Equal(t, known, next)
 }
+
+// Guards against an owner that gives up, or a successor that falls back to an old mark, because records were deleted that held nothing new; and
+// against one that goes on although another gate's claim may be among the deleted records.
+func TestDeletedRecordsOfTheOwnerTopic(t *testing.T) {
+	next := segs.Segment{Number: 1, Partition: 3, Epoch: 2, Start: 40, Snapshot: 40}
+	scenarios := []struct {
+		testName string
+		foreign  bool // the last deleted record is another gate's claim
+	}{
+		{"own records", false},
+		{"another gate's claim", true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			log := &topicLog{}
+			e, other := New(log, "gate-1", "127.0.0.1:1", nil), New(log, "gate-2", "127.0.0.1:2", nil)
+			e.claim(t.Context())
+			assert.NilError(t, e.readTopic(t.Context()))
+			assert.NilError(t, e.CommitSegment(t.Context(), 1, next))
+			assert.Assert(t, e.sendHeartbeat(t.Context(), 1))
+			if s.foreign {
+				assert.NilError(t, other.readTopic(t.Context()))
+				other.claim(t.Context())
+			}
+			log.oldest = int64(len(log.records))
+			assert.NilError(t, e.readTopic(t.Context()))
+			assert.Equal(t, e.OwnEpoch() == 1, !s.foreign)
+			known, isCurrent := e.Segment()
+			assert.Equal(t, known, next)
+			assert.Equal(t, isCurrent, !s.foreign)
+			assert.Equal(t, e.knownSegment() != nil, !s.foreign)
+		})
+	}
+}
+
+// Guards against a gate that keeps a segment with a higher number although the owner has continued an earlier one since, as after a takeover
+// with an old mark; and against one that returns to an earlier record read late.
+func TestNewestRecordNamesTheSegment(t *testing.T) {
+	third, second := segs.Segment{Number: 3, Partition: 3, Epoch: 9}, segs.Segment{Number: 2, Partition: 2, Epoch: 5}
+	e := New(&topicLog{}, "gate-1", "127.0.0.1:1", nil)
+	e.applySegment(10, third)
+	e.applySegment(12, second)
+	e.applySegment(11, third)
+	known, isCurrent := e.Segment()
+	assert.Equal(t, known, second)
+	assert.Assert(t, isCurrent)
+}
