gate/lead: takeover from the mark; limits grow within a switch

Cause: without owner records a takeover waited for partition 0 and could prefer an old mark; a failed mark wasn't repeated; a thin link failed each attempt of a switch. Change: the later of mark and known segment counts, and a heartbeat names it first; marks are repeated; limits double up to 4 times.

--- a/gate/lead/journal.go
+++ b/gate/lead/journal.go
@@ -26,6 +26,7 @@
 	inboxReadWait    = 700 * time.Millisecond
 	maxHedgedTries   = 6
 	readRetryPause   = 150 * time.Millisecond
+	markRetryPause   = time.Second
 	// A takeover that has waited for a partition of the journal this long logs it, and again after each further such time.
 	waitLogPeriod = time.Second
 )
@@ -49,32 +50,37 @@
 	writer    *segs.Writer
 	rotation  *segs.Rotation
 	lastError error // of the last append without success
+	// Multiple of the usual time limits of a partition. It is above 1 during a switch whose earlier attempts failed.
+	limitFactor int
 }
 
 func newJournal(log ports.Log, owner ownership, epoch int64, parts int) *journal {
-	return &journal{log: log, owner: owner, epoch: epoch, parts: parts, rotation: segs.NewRotation(parts)}
+	return &journal{log: log, owner: owner, epoch: epoch, parts: parts, rotation: segs.NewRotation(parts), limitFactor: 1}
 }
 
 // takeOver fences earlier owners, passes the journal's records from the last snapshot on to the scheduler, and returns their size in bytes.
 func (j *journal) takeOver(ctx context.Context, sc *sched.Scheduler) (fenced time.Time, size int, err error) {
 	segment, known := j.owner.Segment()
-	end, err := j.fence(ctx, segment)
-	if err != nil {
-		return time.Time{}, 0, err
+	if !known && j.canSwitch() {
+		// The fence waits for its partition, so it must not go to partition 0 if the journal isn't there.
+		if segment, err = j.mergeMarked(ctx, segment); err != nil {
+			return time.Time{}, 0, err
+		}
 	}
-	fenced = time.Now()
-	if !known {
-		// No record on the owner topic names a segment, so the mark does.
-		marked, err := j.markedSegment(ctx)
-		if err != nil {
+	var end int64
+	for isFenced := false; !isFenced; {
+		if end, err = j.fence(ctx, segment); err != nil {
 			return time.Time{}, 0, err
 		}
-		if marked.Partition != segment.Partition {
-			if end, err = j.fence(ctx, marked); err != nil {
+		fenced, isFenced = time.Now(), true
+		if !known {
+			// No record on the owner topic tells which segment counts, so the mark does.
+			partition := segment.Partition
+			if segment, err = j.mergeMarked(ctx, segment); err != nil {
 				return time.Time{}, 0, err
 			}
+			isFenced = segment.Partition == partition
 		}
-		segment = marked
 	}
 	if segment.Snapshot > end {
 		klog.InfoS("snapshot-mark-out-of-range", "offset", segment.Snapshot, "end", end)
@@ -84,14 +90,27 @@
 	if err := j.writer.Fenced(); err != nil {
 		return time.Time{}, 0, err
 	}
-	size, err = j.replay(ctx, sc, segment, end)
-	if err == nil && (j.canSwitch() || segment.HasHeader()) {
-		j.owner.MarkSegment(j.epoch, segment)
+	if size, err = j.replay(ctx, sc, segment, end); err != nil {
+		return time.Time{}, 0, err
 	}
 	publishSegment(segment)
+	if !j.canSwitch() && !segment.HasHeader() {
+		return fenced, size, nil
+	}
+	j.owner.MarkSegment(j.epoch, segment)
+	if !known {
+		// A heartbeat names the segment before anything is acknowledged there, since other gates may know another one.
+		_, err = j.owner.NextEpoch(ctx, j.epoch)
+	}
 	return fenced, size, err
 }
 
+// mergeMarked returns the later one of the given segment and the marked one.
+func (j *journal) mergeMarked(ctx context.Context, s segs.Segment) (segs.Segment, error) {
+	marked, err := j.markedSegment(ctx)
+	return s.Merge(marked), err
+}
+
 // fence makes the segment's partition refuse the appends of all earlier owners, and returns its end offset. An empty append under the
 // new epoch does both.
 func (j *journal) fence(ctx context.Context, s segs.Segment) (end int64, err error) {
@@ -147,7 +166,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if j.canSwitch() {
-		go j.watchStall(ctx, cancel, size)
+		go j.watchStall(ctx, cancel, size, j.limitFactor)
 	}
 	offset, err := j.repeat(ctx, a)
 	if err == nil {
@@ -285,16 +304,33 @@
 	return s
 }
 
-// markSnapshot stores the place of a complete snapshot and trims the journal before it.
+// markSnapshot stores the place of a complete snapshot and trims the journal before it. On a segment with a header it repeats a mark that
+// can't be stored until it can, or another snapshot is complete: the mark before it may name another partition.
 func (j *journal) markSnapshot(ctx context.Context, s segs.Segment) {
+	for !j.putMark(ctx, s) {
+		if !s.HasHeader() {
+			return
+		}
+		timer.Sleep(ctx, markRetryPause)
+		if current, known := j.owner.Segment(); ctx.Err() != nil || !known || current != s {
+			return
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	if err := j.log.Put(ctx, marksTopic, ports.KeyValue{Key: snapshotMark, Value: []byte(s.Mark())}); err != nil {
-		klog.InfoS("snapshot-not-marked", "offset", s.Snapshot, "error", err.Error())
-		return
-	}
 	if err := j.log.Trim(ctx, segs.Topic, s.Partition, s.Snapshot); err != nil {
 		klog.InfoS("journal-not-trimmed", "offset", s.Snapshot, "error", err.Error())
 	}
 	klog.InfoS("snapshot-marked", "offset", s.Snapshot, "segment", s.Number, "partition", s.Partition)
 }
+
+// putMark reports whether it stored the place of a complete snapshot.
+func (j *journal) putMark(ctx context.Context, s segs.Segment) bool {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	err := j.log.Put(ctx, marksTopic, ports.KeyValue{Key: snapshotMark, Value: []byte(s.Mark())})
+	if err != nil {
+		klog.InfoS("snapshot-not-marked", "offset", s.Snapshot, "segment", s.Number, "error", err.Error())
+	}
+	return err == nil
+}
--- a/gate/lead/segments.go
+++ b/gate/lead/segments.go
@@ -23,6 +23,8 @@
 	probeLatencyFactor = 5
 	// Partitions that are asked at a time.
 	maxProbes = 4
+	// The time allowed to a partition doubles with each attempt of a switch that failed, up to this many times.
+	maxLimitFactor = 4
 )
 
 // errStalled means that an append has had no confirmation while the log confirmed others. Its outcome is unknown.
@@ -31,9 +33,9 @@
 // canSwitch reports whether the journal may go on on another partition.
 func (j *journal) canSwitch() bool { return j.parts > 1 }
 
-// watchStall cancels the context with errStalled once an append of the given size that has just been sent counts as stalled. Time for which
-// this process did not run doesn't count.
-func (j *journal) watchStall(ctx context.Context, cancel context.CancelCauseFunc, size int) {
+// watchStall cancels the context with errStalled once an append of the given size that has just been sent counts as stalled, in limitFactor times
+// the usual limit. Time for which this process did not run doesn't count.
+func (j *journal) watchStall(ctx context.Context, cancel context.CancelCauseFunc, size, limitFactor int) {
 	startedAt := timer.SinceBoot()
 	for lastCheck := startedAt; ; {
 		timer.Sleep(ctx, stallCheckPeriod)
@@ -44,7 +46,7 @@
 		startedAt += max(0, now-lastCheck-2*stallCheckPeriod)
 		lastCheck = now
 		isLogAlive, latency := j.owner.HeartbeatLatency(startedAt)
-		if segs.IsStalled(now-startedAt, size, isLogAlive, latency) {
+		if segs.IsStalled((now-startedAt)/time.Duration(limitFactor), size, isLogAlive, latency) {
 			cancel(errStalled)
 			return
 		}
@@ -71,6 +73,7 @@
 		return r, err
 	}
 	j.rotation.Failed(r.from, timer.SinceBoot())
+	defer func() { j.limitFactor = 1 }()
 	for {
 		r.attempts++
 		err := j.tryPartition(ctx, snapshot)
@@ -81,6 +84,8 @@
 		case !errors.Is(err, errStalled):
 			return r, err
 		}
+		// This gate's link may be the cause, or the whole topic's latency, so that no partition would do in this time.
+		j.limitFactor = min(2*j.limitFactor, maxLimitFactor)
 	}
 }
 
@@ -123,7 +128,7 @@
 // with errStalled if none does in time.
 func (j *journal) findPartition(ctx context.Context, epoch int64) (int, error) {
 	_, latency := j.owner.HeartbeatLatency(0)
-	limit := max(minProbeTime, probeLatencyFactor*latency)
+	limit := max(minProbeTime, probeLatencyFactor*latency) * time.Duration(j.limitFactor)
 	now := timer.SinceBoot()
 	candidates := j.rotation.Candidates(j.writer.Current().Partition, now)
 	candidates = candidates[:min(maxProbes, len(candidates))]
