--- a/core/sched/admission_test.go
+++ b/core/sched/admission_test.go
@@ -154,6 +154,8 @@
 func TestRetriesTakeNothingOfTheShare(t *testing.T) {
 	b := newTestBench(t, 1)
 	b.sc.options.AdmissionTimeline = true
+	b.advance(time.Second)
+	b.decideAndStore()
 	job := func(id string) JobSpec {
 		return JobSpec{
 			ID: id, Queue: "plans", Pool: "pots", Team: "floor", Steps: []StepSpec{oneCoreStep(40)}, Slack: 1.6, TargetMs: 600, FirstReceivedMs: b.now.UnixMilli(),
--- a/gate/lead/segments.go
+++ b/gate/lead/segments.go
@@ -83,6 +83,8 @@
 			return r, nil
 		case !errors.Is(err, errStalled):
 			return r, err
+		case ctx.Err() != nil:
+			return r, ctx.Err()
 		}
 		// This gate's link may be the cause, or the whole topic's latency, so that no partition would do in this time.
 		j.limitFactor = min(2*j.limitFactor, maxLimitFactor)
--- a/gate/lead/segments_test.go
+++ b/gate/lead/segments_test.go
@@ -33,10 +33,10 @@
 }
 
 // NextEpoch returns a higher epoch with each call.
-func (o *fakeOwner) NextEpoch(context.Context, int64) (int64, error) {
+func (o *fakeOwner) NextEpoch(ctx context.Context, _ int64) (int64, error) {
 	o.epoch += 10
 	o.beats++
-	return o.epoch, nil
+	return o.epoch, ctx.Err()
 }
 
 // CommitSegment adopts the segment unless the commit is to fail.
