--- a/core/sched/moves.go
+++ b/core/sched/moves.go
@@ -197,10 +197,6 @@
 	if d.name == standby || !sc.hasLongSurplus(now, d) || !sc.surges.trend(d.name).hasHadJobs && now.Sub(sc.ownedSince) < unusedPoolGracePeriod {
 		return
 	}
-	if sc.options.AdmissionTimeline && d.late.total() > 0 {
-		// What late work needs falls with the work that is left, so that its last jobs would take ever longer on ever fewer machines.
-		return
-	}
 	for _, w := range d.idleWorkers {
 		m := sc.machines[w.entry.Machine]
 		if d.machines <= d.needed || !sc.orderLimiter.isAllowed(sc.options.MachineOrderRate, true) {
