gate/guard: every team may send 20 jobs at once

Cause: the burst of a team was 20 times its weight, so that one of weight 0.05 got 429 on its second job within a second, also in calm (found by the review): a client within the limits met the bound.

--- a/gate/guard/rates.go
+++ b/gate/guard/rates.go
@@ -5,7 +5,10 @@
 	"time"
 )
 
-// Rates bounds how many requests a second each key may make, with a burst of one second. The zero value is ready. Safe for concurrent use.
+// MinBurst is how many requests a key may make at once however low its rate, since callers with few requests send some of them together.
+const MinBurst = 20
+
+// Rates bounds how many requests a second each key may make, with a burst of one second and at least MinBurst requests. The zero value is ready. Safe for concurrent use.
 type Rates struct {
 	mu      sync.Mutex
 	buckets map[string]bucket
@@ -29,7 +32,7 @@
 	if r.buckets == nil || len(r.buckets) >= maxBuckets {
 		r.buckets = map[string]bucket{}
 	}
-	burst := max(1, perSecond)
+	burst := max(MinBurst, perSecond)
 	b, found := r.buckets[key]
 	if !found {
 		b = bucket{burst, now}
