--- a/core/sched/admission_test.go
+++ b/core/sched/admission_test.go
@@ -173,3 +173,31 @@
 	assert.Equal(t, submit("new0"), "pool-full", "a retry")
 	assert.Equal(t, submit("more"), "share-used")
 }
+
+// Clients that waited for an owner come back all at once, before the new one has a list of workers. Guards against an owner that accepts
+// whatever comes until then: the work of 20 s after one takeover.
+func TestNewOwnerWithoutWorkersAcceptsWhatItsPoolsDid(t *testing.T) {
+	b := newLoadBench(true, setup.Team{Name: "a", Weight: 1000})
+	b.offerUsual(3 * time.Second)
+	b.run(3 * time.Second)
+	b.sc = New(b.options)
+	for _, r := range b.records {
+		assert.NilError(t, b.sc.Replay(r))
+	}
+	b.sc.TakeOwnership(b.now, 0)
+	b.sc.Configure(b.now, b.cfg)
+	b.sc.Decide(b.now)
+	accepted := 0.0
+	for i := range 400 {
+		spec := JobSpec{ID: fmt.Sprint("back", i), Queue: "pool-0", Pool: "pool-0", Team: "a", Steps: shortSteps(), Slack: 1.6, TargetMs: 600}
+		spec.FirstReceivedMs = b.now.UnixMilli()
+		if result, _ := b.sc.Submit(b.now, spec); result == Accepted {
+			_, coreSeconds := spec.Work()
+			accepted += coreSeconds
+		}
+	}
+	const poolCores = loadMachines / loadPools * loadCores
+	usefulWait := 3 * 2.5 // seconds, at most
+	assert.Assert(t, accepted > poolCores/2, "%.0f core-seconds accepted", accepted)
+	assert.Assert(t, accepted < poolCores*usefulWait, "%.0f core-seconds accepted", accepted)
+}
--- a/core/sched/capacity.go
+++ b/core/sched/capacity.go
@@ -34,10 +34,10 @@
 // refusedJobRetention is for how long the retries of a refused job are not recorded as further arrivals of work.
 const refusedJobRetention = 10 * time.Second
 
-// planFirstAdmission derives the timelines while a new owner doesn't plan the machines yet: from the workers that have answered, and without
-// the machines under way. Clients that waited for an owner come back all at once.
+// planFirstAdmission derives the timelines while a new owner doesn't plan the machines yet: from the workers that have answered and from what
+// the pools had at first, without the machines under way. Clients that waited for an owner come back all at once.
 func (sc *Scheduler) planFirstAdmission(now time.Time) {
-	if !sc.options.AdmissionTimeline || sc.demand != nil || sc.firstWorkerList.IsZero() || now.Sub(sc.admission.plannedAt) < firstAdmissionPeriod {
+	if !sc.options.AdmissionTimeline || sc.demand != nil || now.Sub(sc.admission.plannedAt) < firstAdmissionPeriod {
 		return
 	}
 	declared := map[string]*poolDemand{}
@@ -47,6 +47,28 @@
 	sc.planAdmission(now, nil, declared)
 }
 
+// assumeBaseCores lets each pool count with the cores that it had at first as long as fewer have answered a new owner. A pool of which
+// nothing is known has no capacity then and accepts everything, which after one takeover was the work of 20 s.
+func (sc *Scheduler) assumeBaseCores(now time.Time) {
+	answered := map[string]float64{}
+	for _, w := range sc.workersByID {
+		if w.isHealthy() {
+			answered[w.entry.Pool] += w.entry.Capacity.Cores()
+			continue
+		}
+		for _, r := range w.runList {
+			if t := sc.admission.pools[sc.currentPool(r.task.job())]; t != nil && !r.spec().LongRunning {
+				t.AddRun(r.spec().Reservation().Cores(), r.elapsed(now), r.spec().Estimate())
+			}
+		}
+	}
+	for name, t := range sc.admission.pools {
+		if missing := sc.surges.trend(name).baseCores - answered[name]; missing > 0 {
+			t.AddCores(missing, 0)
+		}
+	}
+}
+
 // planAdmission derives the timelines from what is up, under way, running and accepted.
 func (sc *Scheduler) planAdmission(now time.Time, byMachine map[string]*worker, demand map[string]*poolDemand) {
 	if !sc.options.AdmissionTimeline {
@@ -70,6 +92,9 @@
 	if sc.demand != nil && !sc.lastMachineList.IsZero() && sc.options.AllowPoolMoves {
 		sc.addComingMachines(now, byMachine, demand)
 	}
+	if sc.demand == nil {
+		sc.assumeBaseCores(now)
+	}
 	sc.addLimits()
 	sc.addPromises(now)
 }
