core/sched: a new owner counts what its replayed attempts take

Cause: a pool in a surge has several times the cores that it had at first, and a takeover in it would refuse what fits. Change: a pool counts with the more of both until its workers have answered.

--- a/core/sched/capacity.go
+++ b/core/sched/capacity.go
@@ -47,23 +47,26 @@
 	sc.planAdmission(now, nil, declared)
 }
 
-// assumeBaseCores lets each pool count with the cores that it had at first as long as fewer have answered a new owner. A pool of which
-// nothing is known has no capacity then and accepts everything, which after one takeover was the work of 20 s.
-func (sc *Scheduler) assumeBaseCores(now time.Time) {
-	answered := map[string]float64{}
+// assumeCores lets each pool count, as long as fewer have answered a new owner, with the cores that it had at first or with those that its
+// replayed attempts take, whichever are more. A pool of which nothing is known has no capacity then and accepts everything, which after one takeover was the
+// work of 20 s.
+func (sc *Scheduler) assumeCores(now time.Time) {
+	answered, taken := map[string]float64{}, map[string]float64{}
 	for _, w := range sc.workersByID {
 		if w.isHealthy() {
 			answered[w.entry.Pool] += w.entry.Capacity.Cores()
 			continue
 		}
 		for _, r := range w.runList {
-			if t := sc.admission.pools[sc.currentPool(r.task.job())]; t != nil && !r.spec().LongRunning {
-				t.AddRun(r.spec().Reservation().Cores(), r.elapsed(now), r.spec().Estimate())
+			pool, cores := sc.currentPool(r.task.job()), r.spec().Reservation().Cores()
+			if t := sc.admission.pools[pool]; t != nil && !r.spec().LongRunning {
+				t.AddRun(cores, r.elapsed(now), r.spec().Estimate())
+				taken[pool] += cores / usableCoreShare
 			}
 		}
 	}
 	for name, t := range sc.admission.pools {
-		if missing := sc.surges.trend(name).baseCores - answered[name]; missing > 0 {
+		if missing := max(sc.surges.trend(name).baseCores-answered[name], taken[name]); missing > 0 {
 			t.AddCores(missing, 0)
 		}
 	}
@@ -93,7 +96,7 @@
 		sc.addComingMachines(now, byMachine, demand)
 	}
 	if sc.demand == nil {
-		sc.assumeBaseCores(now)
+		sc.assumeCores(now)
 	}
 	sc.addLimits()
 	sc.addPromises(now)
