--- a/mango/cmds/exit.go
+++ b/mango/cmds/exit.go
@@ -11,8 +11,8 @@
 // Exit codes of mango.
 const (
 	ExitOK       = 0 // done
-	ExitRefused  = 1 // refused, nothing changed
-	ExitUsage    = 2 // wrong usage or settings
+	ExitRefused  = 1 // refused, nothing changed; warnings of a check
+	ExitUsage    = 2 // wrong usage or settings; errors of a check
 	ExitUnknown  = 3 // outcome unknown or no gate reachable
 	ExitConflict = 4 // another operator's change was accepted first
 )
@@ -39,6 +39,7 @@
 	var refused *gates.RefusedError
 	var unreachable *gates.UnreachableError
 	var localRefusal *localRefusalError
+	var findings *findingsError
 	switch {
 	case err == nil:
 		return ExitOK
@@ -46,6 +47,8 @@
 		return ExitUnknown
 	case errors.As(err, &refused):
 		return exitCodeForResult(refused.Result())
+	case errors.As(err, &findings):
+		return findings.exitCode()
 	case errors.As(err, &localRefusal):
 		return ExitRefused
 	default:
--- a/mango/cmds/shell.go
+++ b/mango/cmds/shell.go
@@ -30,6 +30,7 @@
 	Now               func() time.Time                                         // the wall clock
 	Random            io.Reader                                                // random source of new keys
 	NewOperatorClient func(options gates.Options, operator string) OperatorAPI // connects to the operators' API
+	Form              ConfigurationForm                                        // reads the platform's form of configurations
 	NewJobClient      func(options gates.Options) JobAPI                       // connects to the callers' API for jobs
 }
 
@@ -55,7 +56,7 @@
 		Long: `Mango is the operators' command line: it applies declarations, grants keys, drives waves and shows the fleet.
 
 Exit codes: 0 done; 1 refused, nothing changed; 2 wrong usage or settings; 3 outcome unknown or no gate
-reachable; 4 another operator was first. "mango codes" explains the numbers in answers.`,
+reachable; 4 another operator was first. "mango check" has its own. "mango codes" explains the numbers in answers.`,
 		SilenceUsage:      true,
 		SilenceErrors:     true,
 		DisableAutoGenTag: true,
@@ -66,7 +67,7 @@
 	root.SetErr(options.Err)
 	c.addFlags(root)
 	root.AddCommand(
-		c.applyCommand(), c.diffCommand(), c.validateCommand(), c.historyCommand(),
+		c.applyCommand(), c.diffCommand(), c.validateCommand(), c.checkCommand(), c.historyCommand(),
 		c.keyCommand(), c.teamCommand(), c.poolCommand(), c.vmCommand(), c.moveCommand(), c.waveCommand(),
 		c.jobCommand(), c.statusCommand(), c.timelineCommand(), c.codesCommand(), c.referenceCommand(root),
 	)
--- a/mango/root/main.go
+++ b/mango/root/main.go
@@ -17,6 +17,7 @@
 	"mangowing/mango/gates"
 	"mangowing/mango/jobs"
 	"mangowing/mango/opsapi"
+	"mangowing/platform/form"
 )
 
 // Main runs the command line on the process's standard streams and returns the exit code.
@@ -37,6 +38,7 @@
 func Run(ctx context.Context, args []string, options cmds.Options) int {
 	options.NewOperatorClient = func(s gates.Options, operator string) cmds.OperatorAPI { return opsapi.New(s, operator) }
 	options.NewJobClient = func(s gates.Options) cmds.JobAPI { return jobs.New(s) }
+	options.Form = form.Reader{}
 	root := cmds.NewRoot(options)
 	root.SetArgs(args)
 	err := root.ExecuteContext(ctx)
--- a/mango/root/session_test.go
+++ b/mango/root/session_test.go
@@ -37,6 +37,17 @@
 freeze = 22:00-23:00
 `
 
+const smallConfiguration = `{
+  "version": 1,
+  "routes": [{"name": "plans", "host": "h", "path_prefix": "/plans/", "service": "planners", "slack_factor": 2}],
+  "services": [{"name": "planners"}],
+  "tenants": [
+    {"name": "floor", "api_keys": ["floor-1"], "weight": 9, "cap": {"cpu": 4000}},
+    {"name": "retail", "api_keys": ["retail-1"], "weight": 9, "cap": {"cpu": 4000}}
+  ]
+}
+`
+
 const smallStatus = `{"deployment":"small","gates":[
 {"name":"a-1","data-centre":"a","incarnation":"a-1.X","address":"127.0.0.1:7003","reachable":true,"ready":true,"offset":41,"digest":7,"staleness-ms":120},
 {"name":"a-2","data-centre":"a","incarnation":"a-2.X","address":"127.0.0.1:7013","reachable":true,"ready":false,"stopping":true,"offset":41,"digest":7,"staleness-ms":90},
@@ -64,6 +75,45 @@
 }
 
 var sessions = []session{
+	{
+		testName:    "check",
+		description: "An operator checks a configuration and declarations before sending them; the exit code says how serious the findings are.",
+		gates:       1,
+		setup: func(d *driver) {
+			d.writeFile("config.json", smallConfiguration)
+			d.writeFile("next.json", strings.NewReplacer(`"version": 1`, `"version": 2`, "4000", "2000", `"retail-1"`, `"floor-1"`).Replace(smallConfiguration))
+			d.writeFile("wave.json", `{"wave": 3, "machines": ["m-1"], "duration_s": 4, "cap": 1}`)
+			d.writeFile("machines.json", `{"machines": [{"host_machine": "m-1", "pool": "planners", "labels": ["std"], "capacity": {"cpu": 8000}},`+
+				`{"host_machine": "m-2", "pool": "planners", "labels": ["gpu"], "capacity": {"cpu": 8000}}]}`)
+			d.writeFile("small/all.ini", smallDeployment)
+			d.writeFile("next/all.ini", strings.NewReplacer("limit = 4", "limit = 2", "teams = t", "").Replace(smallDeployment))
+			d.writeFile("broken/all.ini", smallDeployment+"[pool p]\n")
+		},
+		steps: func(d *driver) {
+			d.run("check DIR/config.json --machines DIR/machines.json --label gpu --wave DIR/wave.json --maintenance 4s")
+			d.run("check DIR/next.json --in-force DIR/config.json")
+			d.run("check DIR/next.json --in-force DIR/config.json --output json")
+			d.run("check DIR/config.json --in-force DIR/next.json")
+			d.run("check DIR/config.json --machines DIR/machines.json --label gpu --label planners/ssd --wave DIR/wave.json --maintenance 5s")
+			d.run("check DIR/config.json --task cpu=5000,time=1s")
+			d.runWithInput("check -", `{"version": 1, "serves": []}`)
+			d.run("check DIR/next --in-force DIR/small")
+			d.run("check DIR/broken --output json")
+			d.comment("Wrong usage.")
+			d.run("check DIR/none")
+			d.run("check DIR/small --in-force DIR/config.json")
+			d.run("check DIR/small --wave DIR/wave.json")
+			d.run("check DIR/config.json --slots 4")
+			d.run("check DIR/config.json --label gpu")
+			d.run("check DIR/config.json --task disk=4")
+			d.runWithInput("check -", strings.Repeat(" ", 5<<20))
+			d.comment("Completion offers files for the path and for the flags that name one.")
+			d.run("__complete check DIR/con")
+			d.run("__complete check DIR/config.json DIR/")
+			d.run("__complete check --in-force DIR/con")
+			d.run("__complete check --task c")
+		},
+	},
 	{
 		testName:    "apply",
 		description: "An operator checks, compares and applies a directory, changes it and applies it again.",
--- a/mango/show/printer.go
+++ b/mango/show/printer.go
@@ -72,6 +72,8 @@
 		return v.text()
 	case Codes:
 		return v.text()
+	case Findings:
+		return v.text()
 	case Message:
 		return string(v) + "\n"
 	default:
