--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -70,7 +70,8 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &lab{trouble: trouble, started: time.Now(), dir: dir, record: record, history: map[string][]event{}, holdMax: 6 * time.Second,
+	l := &lab{
+		trouble: trouble, started: time.Now(), dir: dir, record: record, history: map[string][]event{}, holdMax: 6 * time.Second,
 		stopTime: 100 * time.Millisecond, stopLimit: 200 * time.Millisecond,
 	}
 	l.note("trouble: %v", trouble)
@@ -166,13 +167,10 @@
 
 // step is a step of a job as callers submit it.
 type step struct {
-	Count          int    `json:"count"`
-	CPU            int    `json:"cpu"`
-	MemMB          int    `json:"mem_mb"`
-	EstimatedMs    int    `json:"estimated_ms"`
-	Requirements   string `json:"requirements,omitempty"`
-	LongRunning    bool   `json:"long_running,omitempty"`
-	MaxUnavailable int    `json:"max_unavailable,omitempty"`
+	Count       int `json:"count"`
+	CPU         int `json:"cpu"`
+	MemMB       int `json:"mem_mb"`
+	EstimatedMs int `json:"estimated_ms"`
 }
 
 // nextJob returns an ID that no job has yet.
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -15,7 +15,7 @@
 
 func main() {
 	cases := map[string]func(*lab) error{
-		"reborn-ends": playRebornEnds, "reborn-lease": playRebornLease, "innocent": playInnocent, "cut-stop": playCutStop,
+		"reborn-ends": playRebornEnds, "reborn-lease": playRebornLease, "cut-stop": playCutStop,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: lab CASE FOLDER")
