Review: the worker stand-in grants a new life no lease before its first order

A new life began with a lease of hold_max_ms although nothing ran there, and a lease never shortens: that could have explained case 8 without the product.

--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -44,7 +44,7 @@
 	stop     chan struct{}
 	sequence int
 	token    int64
-	leaseEnd time.Time
+	leaseEnd time.Time // zero until the first order with a deadline: a new life has granted nothing
 	lapsedAt time.Time // when the lease was last found to have run out
 	runs     map[string]*workerRun
 	refused  map[string]int // by task: attempts up to this number are refused
@@ -89,7 +89,7 @@
 	now := time.Now()
 	f := &life{
 		born: now.UnixMilli(), clock: now, listener: listener, stop: make(chan struct{}), runs: map[string]*workerRun{},
-		refused: map[string]int{}, ended: make(chan struct{}), leaseEnd: now.Add(w.lab.holdMax),
+		refused: map[string]int{}, ended: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/run-start", w.handler(f, w.startRun))
@@ -149,7 +149,7 @@
 
 // checkLease remembers that the lease has run out.
 func (f *life) checkLease(now time.Time) {
-	if now.After(f.leaseEnd) {
+	if !f.leaseEnd.IsZero() && now.After(f.leaseEnd) {
 		f.lapsedAt = now
 	}
 }
