core/sched: a stop is waited for from the answer that lacks its run, not from the poll

Cause: while a worker stops a run, it lists it neither as active nor as ended. A run whose stop isn't acknowledged is taken for gone by a poll that was sent more than the stop's time after the first one that lacked it, counted from the sending of that first poll. A poll waits for up to 0.7 s and may be on its way for longer, and the stop may begin right before its answer: then the time is over before the stop is. The same for the room of runs that were given up. Change: the time counts from the arrival of the first answer that lacks the run, for both. Why it works: what an answer lacks has begun to stop before the answer arrived. The sum of the two bounds stands in one place.

--- a/core/sched/apply_result.go
+++ b/core/sched/apply_result.go
@@ -59,7 +59,7 @@
 	if res.Answer == AnswerOK && !r.stopAcked && res.Order.Generation == r.worker.generation {
 		// While the worker stops the run, it lists it neither as active nor as ended.
 		r.stopAcked = true
-		r.absenceValidAfter = now.Add(sc.options.StopTimeout + stopListingDelay)
+		r.absenceValidAfter = now.Add(sc.options.stopBound())
 		sc.pollSoon(now, r.worker)
 	}
 }
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -253,7 +253,7 @@
 	unansweredAs      int64     // generation of that order
 	startedAt         time.Time // when the start was confirmed
 	absenceValidAfter time.Time // a poll sent after this that doesn't list the run proves that the worker doesn't have it
-	firstMissing      time.Time // when the first poll was sent that didn't list the run while it may have been stopping
+	missingSince      time.Time // when the first answer arrived that didn't list the run while it may have been stopping
 	stopping          bool      // a stop was ordered
 	stopAcked         bool      // the worker has acknowledged the stop
 	machineLeaving    bool      // its machine is about to be taken down or moved
--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -91,6 +91,9 @@
 	leaseExpiryMargin = 250 * time.Millisecond
 )
 
+// stopBound returns the time after a worker has received a stop by which it lists the end of the run.
+func (o Options) stopBound() time.Duration { return o.StopTimeout + stopListingDelay }
+
 // leaseExpiryBound returns the time after a renewal by which its leases have run out even on the slowest worker clock.
 func (o Options) leaseExpiryBound() time.Duration { return expiryBound(o.Lease) }
 
--- a/core/sched/polls.go
+++ b/core/sched/polls.go
@@ -95,7 +95,7 @@
 	}
 	if !res.Partial {
 		sc.endMissingRuns(now, w, listed, res.SentAt, res.Order.Generation)
-		sc.forgetZombies(w, res.SentAt)
+		sc.forgetZombies(now, w, listed, res.SentAt)
 	}
 	sc.adjustThrottling(w)
 	w.nextPollAt = now.Add(sc.minPollInterval())
@@ -154,11 +154,11 @@
 func (sc *Scheduler) applyActive(now time.Time, w *worker, key runKey, a ActiveRun) {
 	r := w.runs[key]
 	if r == nil {
-		sc.recordZombie(now, w, key)
+		sc.recordZombie(w, key)
 		sc.orderStop(w, a.Task, a.Attempt)
 		return
 	}
-	r.firstMissing, r.crashOutcome = time.Time{}, AttemptDone
+	r.missingSince, r.crashOutcome = time.Time{}, AttemptDone
 	if r.phase != runConfirmed {
 		sc.confirmStart(now, r)
 	}
@@ -178,7 +178,7 @@
 		if listed[r.key()] {
 			continue
 		}
-		if sc.isProvenAbsent(w, r, sentAt, generation) {
+		if sc.isProvenAbsent(now, w, r, sentAt, generation) {
 			sc.endRun(now, r, AttemptLost, "")
 		}
 	}
@@ -189,8 +189,9 @@
 //
 // A start order without an answer is refused once a later generation has arrived. A run that is being stopped, by this owner or the
 // previous one, is listed neither as active nor as ended until the stop is complete. Such a run is absent only if a poll sent more than
-// the stop timeout after the first one that lacked it does not list it either.
-func (sc *Scheduler) isProvenAbsent(w *worker, r *run, sentAt time.Time, generation int64) bool {
+// the stop timeout after the first answer that lacked it does not list it either: the stop may have begun right before that answer,
+// long after its poll was sent.
+func (sc *Scheduler) isProvenAbsent(now time.Time, w *worker, r *run, sentAt time.Time, generation int64) bool {
 	mayBeStopping := r.phase == runInherited || r.stopping && !r.stopAcked
 	switch {
 	case r.absenceValidAfter.IsZero() && r.phase != runInherited, !sentAt.After(r.absenceValidAfter):
@@ -199,11 +200,11 @@
 		return false
 	case !mayBeStopping:
 		return true
-	case r.firstMissing.IsZero():
-		r.firstMissing = sentAt
-		w.recheckAt = sentAt.Add(sc.options.StopTimeout + stopListingDelay)
+	case r.missingSince.IsZero():
+		r.missingSince = now
+		w.recheckAt = now.Add(sc.options.stopBound())
 		return false
 	default:
-		return sentAt.After(r.firstMissing.Add(sc.options.StopTimeout + stopListingDelay))
+		return sentAt.After(r.missingSince.Add(sc.options.stopBound()))
 	}
 }
--- a/core/sched/restart.go
+++ b/core/sched/restart.go
@@ -23,7 +23,7 @@
 	sc.raiseGeneration(w)
 	for _, r := range w.runList {
 		// What the former incarnation has stopped, or was stopping, says nothing of this one.
-		r.stopAcked, r.firstMissing = false, time.Time{}
+		r.stopAcked, r.missingSince = false, time.Time{}
 		if r.stopping || r.phase == runUnknown || r.phase == runOrdered {
 			// The start may still arrive, and the new incarnation would execute it.
 			sc.stopRun(now, r)
--- a/core/sched/zombies.go
+++ b/core/sched/zombies.go
@@ -9,13 +9,13 @@
 // zombie is an attempt that a worker runs although it was given up: its start was carried out late, for instance. It is stopped, and
 // holds its room until then.
 type zombie struct {
-	needs      setup.Resources
-	lastListed time.Time
+	needs        setup.Resources
+	missingSince time.Time // when the first answer arrived that didn't list it any more, zero if the last one did
 }
 
 // recordZombie counts the room of an attempt that the worker lists and the scheduler has given up. If its size is unknown, it counts
 // as the whole worker.
-func (sc *Scheduler) recordZombie(now time.Time, w *worker, key runKey) {
+func (sc *Scheduler) recordZombie(w *worker, key runKey) {
 	needs := w.entry.Capacity
 	if j, known := sc.jobs[key.task.Job]; known {
 		if t := j.taskByID(key.task); t != nil {
@@ -25,14 +25,20 @@
 	if w.zombies == nil {
 		w.zombies = map[runKey]zombie{}
 	}
-	w.zombies[key] = zombie{needs, now}
+	w.zombies[key] = zombie{needs: needs}
 	w.sumZombies()
 }
 
-// forgetZombies drops the zombies that have ended: a poll sent after the time that a stop takes doesn't list them.
-func (sc *Scheduler) forgetZombies(w *worker, sentAt time.Time) {
-	for key, s := range w.zombies {
-		if sentAt.After(s.lastListed.Add(sc.options.StopTimeout + stopListingDelay)) {
+// forgetZombies drops the zombies that have ended: a poll sent later than a stop takes after the first answer that lacked them does not
+// list them either.
+func (sc *Scheduler) forgetZombies(now time.Time, w *worker, listed map[runKey]bool, sentAt time.Time) {
+	for key, z := range w.zombies {
+		switch {
+		case listed[key]:
+		case z.missingSince.IsZero():
+			z.missingSince = now
+			w.zombies[key] = z
+		case sentAt.After(z.missingSince.Add(sc.options.stopBound())):
 			delete(w.zombies, key)
 		}
 	}
