core/sched: a repeated start may be carried out yet although its run is known to run

What callers could see: two runs of a task (TWICE). Cause: a start without an answer is repeated. Once a poll lists the run, only one of the copies can have started it, and the other may be on its way. That the repeated one was in flight, or got no answer either, was forgotten for a run that was confirmed meanwhile. If the worker then restarts under its id, the new life's first list, or the list of machines, proved the attempt gone, its successor started, and the new life still took the copy. Change: the scheduler keeps the generation of a repeated order until it is answered, and a repeat without an answer counts as an unanswered start also for a confirmed run. Why it works: the attempt is then gone only for a poll of a later generation, after which the worker refuses the copy, or after the wait for late starts.

--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -249,6 +249,8 @@
 	retries           int       // repeated start orders
 	inherited         bool      // an earlier owner started it, and this one has found it running
 	startPending      bool      // the start order has not been answered yet
+	repeatPending     bool      // a repeated start order has not been answered yet
+	repeatedAs        int64     // generation of that order
 	unansweredAt      time.Time // when a start order was given up without an answer, zero if the worker refuses that order by now
 	unansweredAs      int64     // generation of that order
 	startedAt         time.Time // when the start was confirmed
--- a/core/sched/polls.go
+++ b/core/sched/polls.go
@@ -187,16 +187,16 @@
 // isProvenAbsent reports whether a worker does not have the run and refuses to start it, given that its answer to a poll of the
 // generation, sent at sentAt, does not list it.
 //
-// A start order without an answer is refused once a later generation has arrived. A run that is being stopped, by this owner or the
-// previous one, is listed neither as active nor as ended until the stop is complete. Such a run is absent only if a poll sent more than
-// the stop timeout after the first answer that lacked it does not list it either: the stop may have begun right before that answer,
-// long after its poll was sent.
+// A start order without an answer, or a repeated one that is in flight, is refused once a later generation has arrived. A run that is
+// being stopped, by this owner or the previous one, is listed neither as active nor as ended until the stop is complete. Such a run is
+// absent only if a poll sent more than the stop timeout after the first answer that lacked it does not list it either: the stop may have
+// begun right before that answer, long after its poll was sent.
 func (sc *Scheduler) isProvenAbsent(now time.Time, w *worker, r *run, sentAt time.Time, generation int64) bool {
 	mayBeStopping := r.phase == runInherited || r.stopping && !r.stopAcked
 	switch {
 	case r.absenceValidAfter.IsZero() && r.phase != runInherited, !sentAt.After(r.absenceValidAfter):
 		return false
-	case !r.unansweredAt.IsZero() && generation <= r.unansweredAs:
+	case r.mayStartAfter(generation):
 		return false
 	case !mayBeStopping:
 		return true
