core/sched: late renewals count also after a restart that the list of workers shows

Cause: a renewal by the clock of the life before grants the new life's longest lease, and may arrive up to 12 s late, until a later call has reached that life. After a restart that an answer showed, this was counted; after one that the list of workers showed, the longest lease counted from the list, though the renewal may be taken until the first poll is answered. Change: every restart that becomes known allows for late renewals, until a call of a later generation is answered; the longest lease counts from then. Why it works: from that answer on the worker refuses the late renewals. What it costs: a worker that the list shows as restarted, and that is never reached, holds up its tasks for the 12 s more. Evidence: TestLongestLeaseCountsFromTheFirstAnswerAfterAListedRestart failed before: started elsewhere 9.5 s after the answer, where the lease may last 10.2 s (10 s on a clock that is 2% slow); with a later answer the gap is larger. Result: it passes, and all tests of core/sched.

--- a/core/sched/generation_test.go
+++ b/core/sched/generation_test.go
@@ -217,13 +217,7 @@
 			b.submit("a", oneCoreStep(1))
 			start := b.answerStarts(AnswerOK)[0]
 
-			successor := &testBench{t: t, sc: New(Options{}), now: b.now, entries: b.entries, lastEnd: map[string]int64{}}
-			for _, r := range b.records {
-				assert.NilError(t, successor.sc.Replay(r))
-			}
-			successor.sc.TakeOwnership(successor.now, 0)
-			successor.sc.Configure(successor.now, testConfig())
-			successor.listWorkers()
+			successor := b.newOwner()
 			var next []StartTask
 			for len(next) == 0 && successor.now.Sub(b.now) < 2*longest {
 				successor.advance(50 * time.Millisecond)
--- a/core/sched/harness_test.go
+++ b/core/sched/harness_test.go
@@ -50,6 +50,19 @@
 	return b
 }
 
+// newOwner returns a bench whose scheduler takes over from this one, and has polled no worker yet.
+func (b *testBench) newOwner() *testBench {
+	b.t.Helper()
+	successor := &testBench{t: b.t, sc: New(Options{}), now: b.now, entries: b.entries, lastEnd: map[string]int64{}}
+	for _, r := range b.records {
+		assert.NilError(b.t, successor.sc.Replay(r))
+	}
+	successor.sc.TakeOwnership(successor.now, 0)
+	successor.sc.Configure(successor.now, testConfig())
+	successor.listWorkers()
+	return successor
+}
+
 func (b *testBench) addWorker(id, pool string) {
 	b.entries[id] = WorkerEntry{
 		ID: id, Machine: "m-" + id, Pool: pool, Address: "127.0.0.1:1", DataCentre: "a", Labels: []string{"k", "r1"},
--- /dev/null
+++ b/core/sched/leases_test.go
@@ -0,0 +1,56 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// waitUntilStartedElsewhere lets the worker fall silent, and returns how long after the given time its task is started on another worker.
+func (b *testBench) waitUntilStartedElsewhere(worker string, since time.Time) time.Duration {
+	b.t.Helper()
+	for range 600 {
+		for _, o := range takeOrders[StartTask](b) {
+			if o.Worker != worker {
+				return b.now.Sub(since)
+			}
+			b.sc.ApplyResult(b.now, StartResult{Order: o, Answer: AnswerUnknown, GrantedAt: b.now, ClockIncarnation: 1, Latency: callTimeout})
+		}
+		b.advance(50 * time.Millisecond)
+		b.answerPolls(worker)
+	}
+	b.t.Fatalf("the task of %s is never started elsewhere", worker)
+	return 0
+}
+
+// assertLongestLease checks that a task was started elsewhere once the longest lease had expired, and not much later.
+func assertLongestLease(t *testing.T, waited time.Duration) {
+	t.Helper()
+	longest := expiryBound(defaultMaxLease)
+	assert.Check(t, waited >= longest && waited < longest+500*time.Millisecond, "started elsewhere after %v, the longest lease lasts %v", waited, longest)
+}
+
+// startOnFirstWorker starts a task on a bench's only worker, and adds another one.
+func (b *testBench) startOnFirstWorker() StartTask {
+	b.submit("a", oneCoreStep(1))
+	start := b.answerStarts(AnswerOK)[0]
+	b.addWorker("w2", "pots")
+	b.listWorkers()
+	b.answerPolls()
+	return start
+}
+
+// Guards against a run that outlives the lease which the scheduler counts (review/8): the list of workers shows a restart, and before its first
+// answer the new life takes a late renewal by the clock of the life before.
+func TestLongestLeaseCountsFromTheFirstAnswerAfterAListedRestart(t *testing.T) {
+	b := newTestBench(t, 1)
+	b.restartWorker("w1")
+	b.listWorkers()
+	poll := b.nextPoll("w1")
+	b.advance(time.Second)
+	b.answerPoll(poll)
+	answered := b.now
+	b.startOnFirstWorker()
+	assertLongestLease(t, b.waitUntilStartedElsewhere("w1", answered))
+}
--- a/core/sched/polls.go
+++ b/core/sched/polls.go
@@ -65,7 +65,6 @@
 		return
 	default:
 		sc.applyRestart(now, w, res.Incarnation, "its answer")
-		sc.allowForLateRenewals(now, w)
 	}
 	sc.endLateRenewals(now, w, res.Order.Generation)
 	if w.unanswered >= silentThreshold {
--- a/core/sched/restart.go
+++ b/core/sched/restart.go
@@ -19,8 +19,8 @@
 	w.zombies, w.zombieRoom = nil, setup.Resources{}
 	w.setIncarnation(now, incarnation)
 	w.endedAt = time.Time{}
-	w.extendLeaseExpiry(now.Add(sc.options.maxLeaseExpiryBound()))
 	sc.raiseGeneration(w)
+	sc.allowForLateRenewals(now, w)
 	for _, r := range w.runList {
 		// What the former incarnation has stopped, or was stopping, says nothing of this one.
 		r.stopAcked, r.missingSince = false, time.Time{}
