core/sched: an answer whose clock shows a restart counts also after another call had no answer

Cause: the answer to a start shows by its clock that the worker has restarted, so that the lease, computed by the clock of the life before, lasts as long as the worker grants. That was noted only for a start of the worker's present generation, to poll it once for several such answers. But the generation also rises when a call has no answer, which is likely right when a worker restarts; then the lease counted 4.5 s. Change: such an answer is left aside only if a restart has been noted since its start was sent. Why it works: the scheduler keeps the generation from which on calls were sent after the last restart that it noted. Evidence: TestRestartThatAClockShowsCountsAlsoAfterACallWithoutAnswer failed before: started elsewhere after 4.9 s, where the lease may last 10.2 s. Result: it passes, and all tests of core/sched, that of several answers with one poll too.

--- a/core/sched/leases_test.go
+++ b/core/sched/leases_test.go
@@ -54,3 +54,20 @@
 	b.startOnFirstWorker()
 	assertLongestLease(t, b.waitUntilStartedElsewhere("w1", answered))
 }
+
+// Guards against a run that outlives the lease which the scheduler counts: the answer to its start shows a restart by its clock, and another start
+// of the same generation has had no answer shortly before.
+func TestRestartThatAClockShowsCountsAlsoAfterACallWithoutAnswer(t *testing.T) {
+	b := newTestBench(t, 1)
+	b.submit("a", oneCoreStep(2))
+	starts := takeOrders[StartTask](b)
+	b.addWorker("w2", "pots")
+	b.listWorkers()
+	b.answerPolls()
+	b.sc.ApplyResult(b.now, StartResult{Order: starts[0], Answer: AnswerUnknown, GrantedAt: b.now, ClockIncarnation: 1, Latency: callTimeout})
+	b.sc.ApplyResult(b.now, StartResult{Order: starts[1], Answer: AnswerOK, GrantedAt: b.now, ClockIncarnation: 1, Restarted: true})
+	b.decideAndStore()
+	answered := b.now
+	waited := b.waitUntilStartedElsewhere("w1", answered)
+	assert.Check(t, waited >= expiryBound(defaultMaxLease), "started elsewhere after %v", waited)
+}
--- a/core/sched/starts.go
+++ b/core/sched/starts.go
@@ -20,7 +20,7 @@
 	}
 	w.renewalsInFlight = max(0, w.renewalsInFlight-1)
 	sc.countRenewal(now, w, res.GrantedAt, res.ClockIncarnation)
-	if res.Restarted && res.ClockIncarnation == w.incarnation && res.Order.Generation == w.generation {
+	if res.Restarted && res.ClockIncarnation == w.incarnation && res.Order.Generation >= w.lateRenewalsBefore {
 		sc.logDecision(now, "worker-clock-back", "", w.id, "incarnation "+strconv.FormatInt(w.incarnation, 10))
 		sc.distrust(now, w)
 	}
