core/sched: a worker that is listed again may hold leases from before its removal

Cause: a worker without runs that leaves the list, or whose machine runs none, is removed with all that is known of its leases. If it is listed again, as a new life that takes a late renewal by the clock of the former one, or as the same life whose lease was set so, a run that starts there lasts as long as the worker grants, while 4.5 s were counted. Change: the scheduler remembers the IDs of removed workers for as long as their leases, or late renewals, may last. One that is listed again in that time counts as restarted: late renewals are allowed for until it has answered, and the longest lease from then on. Why it works: it is the rule for restarts that become known, applied to those that the removal hid. What it costs: tasks on a worker that is back in the list, and falls silent within the longest lease of its first answer, wait for that. Evidence: TestLongestLeaseCountsForAWorkerThatIsListedAgain failed before: started elsewhere after 4.9 s, where the lease may last 10.2 s. Result: it passes, and all tests of core/sched.

--- a/core/sched/leases.go
+++ b/core/sched/leases.go
@@ -33,6 +33,34 @@
 	w.leasesExpireAt = now.Add(sc.options.maxLeaseExpiryBound())
 }
 
+// keepFormerLeases remembers that calls which were sent to a worker before its removal may have renewed leases, or may do so yet. The worker
+// may come back under its ID, as the same life or as another one.
+func (sc *Scheduler) keepFormerLeases(now time.Time, w *worker) {
+	if w.renewalsInFlight > 0 {
+		w.extendLeaseExpiry(now)
+	}
+	if !w.leasesExpireAt.IsZero() {
+		sc.formerLeases[w.id] = w.leasesExpireAt.Add(maxCallDelay + sc.options.maxLeaseExpiryBound())
+	}
+}
+
+// restoreFormerLeases allows for such renewals when the worker is listed again.
+func (sc *Scheduler) restoreFormerLeases(now time.Time, w *worker) {
+	if until, found := sc.formerLeases[w.id]; found && now.Before(until) {
+		sc.allowForLateRenewals(now, w)
+	}
+	delete(sc.formerLeases, w.id)
+}
+
+// dropFormerLeases forgets the removed workers whose leases, and the calls that may renew them, are over.
+func (sc *Scheduler) dropFormerLeases(now time.Time) {
+	for id, until := range sc.formerLeases {
+		if !now.Before(until) {
+			delete(sc.formerLeases, id)
+		}
+	}
+}
+
 // allowForFormerIncarnation extends the time for which the worker's leases count if its incarnation is so young that the previous owner
 // may have set them by the clock of the one before.
 func (sc *Scheduler) allowForFormerIncarnation(now time.Time, w *worker, incarnation int64) {
@@ -50,6 +78,7 @@
 // expireLeases ends the runs on workers that have not answered for so long that all leases there have expired. It waits
 // while a call that may renew them is in flight. Workers that are no longer listed and have no runs are removed.
 func (sc *Scheduler) expireLeases(now time.Time) {
+	sc.dropFormerLeases(now)
 	var expired []*worker
 	for _, w := range sc.workersByID {
 		if w.answers() || now.Before(w.leasesExpireAt) || w.renewalsInFlight > 0 {
@@ -61,7 +90,7 @@
 		if w.unanswered > 0 || !w.verified {
 			sc.endExpiredRuns(now, w)
 		}
-		sc.removeWorkerIfUnused(w)
+		sc.removeWorkerIfUnused(now, w)
 	}
 }
 
--- a/core/sched/leases_test.go
+++ b/core/sched/leases_test.go
@@ -71,3 +71,36 @@
 	waited := b.waitUntilStartedElsewhere("w1", answered)
 	assert.Check(t, waited >= expiryBound(defaultMaxLease), "started elsewhere after %v", waited)
 }
+
+// Guards against a run that outlives the lease which the scheduler counts: its worker had left the list, came back under its id, and took a late
+// renewal by the clock of the life before.
+func TestLongestLeaseCountsForAWorkerThatIsListedAgain(t *testing.T) {
+	b := newTestBench(t, 1)
+	b.startOnFirstWorker()
+	b.advance(machineListLag + time.Second)
+	b.answerPolls()
+	b.sc.endIncarnation(b.now, b.sc.workers["w1"], "test")
+	b.answerPolls("w1")
+	b.answerStarts(AnswerOK)
+	entry := b.entries["w1"]
+	delete(b.entries, "w1")
+	b.listWorkers()
+	assert.Assert(t, !b.sc.HasWorker("w1"))
+
+	entry.Incarnation++
+	b.entries["w1"] = entry
+	w2 := b.entries["w2"]
+	w2.Draining = true
+	b.entries["w2"] = w2
+	b.listWorkers()
+	poll := b.nextPoll("w1")
+	b.advance(time.Second)
+	b.answerPoll(poll)
+	answered := b.now
+	b.submit("b", oneCoreStep(1))
+	assert.Equal(t, b.answerStarts(AnswerOK)[0].Worker, "w1")
+	b.addWorker("w3", "pots")
+	b.listWorkers()
+	b.answerPolls()
+	assertLongestLease(t, b.waitUntilStartedElsewhere("w1", answered))
+}
--- a/core/sched/run_end.go
+++ b/core/sched/run_end.go
@@ -64,7 +64,7 @@
 		sc.endRun(now, r, AttemptLost, "")
 	}
 	w.listed = false
-	sc.removeWorkerIfUnused(w)
+	sc.removeWorkerIfUnused(now, w)
 }
 
 // endIncarnation ends the attempts on a worker whose incarnation is known to be gone. The worker may start again under its id, and carry
@@ -83,7 +83,7 @@
 		}
 	}
 	w.listed = false
-	sc.removeWorkerIfUnused(w)
+	sc.removeWorkerIfUnused(now, w)
 }
 
 // mayStillStart reports whether a start order for the run may be carried out yet.
@@ -102,16 +102,18 @@
 				sc.endRun(now, r, AttemptLost, "")
 			}
 		}
-		sc.removeWorkerIfUnused(w)
+		sc.removeWorkerIfUnused(now, w)
 	}
 }
 
 // removeWorkerIfUnused removes a worker that is not listed, has no attempts and no poll in flight.
-func (sc *Scheduler) removeWorkerIfUnused(w *worker) {
-	if !w.listed && len(w.runs) == 0 && !w.pollInFlight {
-		// If it is listed again, it refuses the calls that were sent to it so far.
-		sc.raiseGeneration(w)
-		delete(sc.workers, w.id)
-		sc.workersByID = slices.DeleteFunc(sc.workersByID, func(other *worker) bool { return other == w })
+func (sc *Scheduler) removeWorkerIfUnused(now time.Time, w *worker) {
+	if w.listed || len(w.runs) > 0 || w.pollInFlight {
+		return
 	}
+	// If it is listed again, it refuses the calls that were sent to it so far.
+	sc.raiseGeneration(w)
+	sc.keepFormerLeases(now, w)
+	delete(sc.workers, w.id)
+	sc.workersByID = slices.DeleteFunc(sc.workersByID, func(other *worker) bool { return other == w })
 }
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -16,7 +16,8 @@
 	fenced     bool      // a worker or machine has reported a higher fencing token, or there are no more generations
 	generation int64     // latest generation of calls to any worker
 
-	predecessorRenewsUntil time.Time // the previous owner may renew leases until then
+	predecessorRenewsUntil time.Time            // the previous owner may renew leases until then
+	formerLeases           map[string]time.Time // by ID of a removed worker: until then its leases, or late renewals, may last
 
 	// State that is restored from the journal.
 	jobs              map[string]*job
@@ -124,7 +125,7 @@
 		cfg:     setup.New(0, nil, nil, nil, setup.Limits{}),
 		jobs:    map[string]*job{}, earlyCancels: map[string]bool{}, workers: map[string]*worker{},
 		teams: map[string]*team{}, pools: map[string]*pool{}, machines: map[string]*machine{}, inboxOffsets: map[int]int64{},
-		openJobs: map[*job]bool{}, replacedWorkers: map[string]int64{}, waveFirstSeen: map[int64]int64{}, maintained: map[maintenanceKey]bool{}, maintenanceOrders: map[string]int64{},
+		openJobs: map[*job]bool{}, replacedWorkers: map[string]int64{}, formerLeases: map[string]time.Time{}, waveFirstSeen: map[int64]int64{}, maintained: map[maintenanceKey]bool{}, maintenanceOrders: map[string]int64{},
 		waves: map[int64]*wave{}, changedJobs: map[*job]bool{}, workersWithNewEnds: map[*worker]bool{},
 	}
 }
--- a/core/sched/worker_list.go
+++ b/core/sched/worker_list.go
@@ -50,6 +50,7 @@
 			w.leasesExpireAt = now.Add(sc.options.leaseExpiryBound())
 		}
 		sc.allowForFormerIncarnation(now, w, e.Incarnation)
+		sc.restoreFormerLeases(now, w)
 		sc.markPoolDirty(e.Pool)
 	}
 	isKnown := e.Incarnation == 0 || w.incarnation == 0 || e.Incarnation == w.incarnation || e.Incarnation == w.entry.Incarnation
@@ -138,7 +139,7 @@
 func (sc *Scheduler) unlistWorker(now time.Time, w *worker) {
 	sc.logDecision(now, "worker-unlisted", "", w.id, "")
 	w.listed = false
-	sc.removeWorkerIfUnused(w)
+	sc.removeWorkerIfUnused(now, w)
 }
 
 // HasWorker reports whether the scheduler still keeps the worker: it is listed, has runs, or has a poll in flight.
