core/sched: a new owner allows for late renewals of young workers until they have answered it

Cause: the previous owner may have renewed the leases of a worker that has just restarted by the clock of its former life. A new owner counted the longest lease from the end of its predecessor's term. Change: for a worker that has begun lately the longest lease counts from its first answer to the new owner. Why it works: from then on it refuses the predecessor's calls. Once these calls and the leases that they may set are over, new workers count as before. Evidence: TestLongestLeaseOfAYoungWorkerCountsFromItsFirstAnswerToANewOwner failed before: started elsewhere 7.2 s after the first answer, where the lease may last 10.2 s. Result: it passes, and all tests of core/sched.

--- a/core/sched/leases.go
+++ b/core/sched/leases.go
@@ -62,11 +62,15 @@
 }
 
 // allowForFormerIncarnation extends the time for which the worker's leases count if its incarnation is so young that the previous owner
-// may have set them by the clock of the one before.
+// may have set them by the clock of the one before, or may do so until the worker has answered this one.
 func (sc *Scheduler) allowForFormerIncarnation(now time.Time, w *worker, incarnation int64) {
-	if sc.startedRecently(now, incarnation) {
-		w.extendLeaseExpiry(sc.predecessorRenewsUntil.Add(sc.options.maxLeaseExpiryBound()))
+	isSettled := !now.Before(sc.predecessorRenewsUntil.Add(maxCallDelay + sc.options.maxLeaseExpiryBound()))
+	if isSettled || !sc.startedRecently(now, incarnation) {
+		return
 	}
+	sc.raiseGeneration(w)
+	w.lateRenewalsBefore = w.generation
+	w.extendLeaseExpiry(sc.predecessorRenewsUntil.Add(sc.options.maxLeaseExpiryBound()))
 }
 
 // startedRecently reports whether an incarnation, given by its start in Unix milliseconds, is so young that calls meant for the one
--- a/core/sched/leases_test.go
+++ b/core/sched/leases_test.go
@@ -104,3 +104,24 @@
 	b.answerPolls()
 	assertLongestLease(t, b.waitUntilStartedElsewhere("w1", answered))
 }
+
+// Guards against a run that outlives the lease which a new owner counts: a young worker takes a late renewal of the previous owner, by the clock
+// of the life before, right before its first answer.
+func TestLongestLeaseOfAYoungWorkerCountsFromItsFirstAnswerToANewOwner(t *testing.T) {
+	b := newTestBench(t, 1)
+	e := b.entries["w1"]
+	e.Incarnation = b.now.Add(-2 * time.Second).UnixMilli()
+	b.entries["w1"] = e
+	b.listWorkers()
+	b.answerPolls()
+	start := b.startOnFirstWorker()
+	successor := b.newOwner()
+	successor.answerPolls("w1")
+	const firstAnswerAfter = 3 * time.Second
+	for successor.now.Sub(b.now) < firstAnswerAfter {
+		successor.advance(50 * time.Millisecond)
+		successor.answerPolls("w1")
+	}
+	successor.answerPoll(successor.nextPoll("w1"), start)
+	assertLongestLease(t, successor.waitUntilStartedElsewhere("w1", successor.now))
+}
