Walk: workers hold polls back, leave the list for a while, and are shown as ended by the list of machines

Cause: in the walk every poll was answered at once, all workers stayed in the list, and there was no list of machines, so that the ways on which a stop begins during a poll, or a worker is removed and comes back, were in no walk. Change: TestWalkWithHeldPollsAndChangingLists plays the walk with all three; the other walks make the same random choices as before.

--- a/core/sched/walk_calls_test.go
+++ b/core/sched/walk_calls_test.go
@@ -156,7 +156,9 @@
 		slow := time.Duration(1+w.rng.IntN(simMaxSlowSteps)) * stepTime
 		w.delayedCalls = append(w.delayedCalls, delayedCall{w.now.Add(slow), o, call, w.scheduler})
 	default:
-		w.applyAnswer(w.execute(s, o, call))
+		if a := w.execute(s, o, call); !w.polls.hold(w, s, a, call) {
+			w.applyAnswer(a)
+		}
 	}
 }
 
--- a/core/sched/walk_harness_test.go
+++ b/core/sched/walk_harness_test.go
@@ -43,6 +43,8 @@
 	faultsOn     bool // orders may be lost or delayed, and owners may fail
 	options      Options
 	requests     *simRequests // nil if there are no evacuations
+	lists        *simLists    // nil if all workers stay listed and there is no list of machines
+	polls        *simPolls    // nil if workers answer polls at once
 }
 
 // simWorker is one life of a worker. All lives of a worker share its id.
@@ -231,8 +233,10 @@
 		w.advanceWorker(w.workers[id])
 	}
 	w.updateList()
+	w.lists.step(w)
 	w.deliverDelayed()
 	w.applyLateAnswers()
+	w.polls.step(w)
 	w.requests.step(w)
 	w.scheduler.Decide(w.now)
 	w.storeBatch()
@@ -391,7 +395,13 @@
 		}
 	}
 	s.ended = kept
-	res.Ended = slices.Clone(kept[:min(len(kept), simMaxListedEnds)])
+	s.listRuns(&res)
+	return res
+}
+
+// listRuns fills in what the worker lists at present.
+func (s *simWorker) listRuns(res *PollResult) {
+	res.Ended = slices.Clone(s.ended[:min(len(s.ended), simMaxListedEnds)])
 	res.MoreEnds = len(res.Ended) == simMaxListedEnds
 	res.Partial = res.MoreEnds
 	for _, key := range s.sortedRuns() {
@@ -400,7 +410,6 @@
 		}
 		res.Active = append(res.Active, ActiveRun{Task: key.task, Attempt: key.attempt, SpeedPercent: fullSpeed, Load: -1})
 	}
-	return res
 }
 
 // advanceWorker ends the worker's runs that are finished or whose lease has expired.
--- a/core/sched/walk_test.go
+++ b/core/sched/walk_test.go
@@ -221,6 +221,12 @@
 
 func runWalk(seed uint64, options Options, requests *simRequests) *simulation {
 	w := newSimulation(seed, options, requests)
+	w.play()
+	return w
+}
+
+// play runs the steps with faults and those without, in which all jobs must finish.
+func (w *simulation) play() {
 	for range faultySteps {
 		w.injectEvent()
 		w.step()
@@ -234,7 +240,6 @@
 			w.reportViolation("job %s is still %s at the end", id, state)
 		}
 	}
-	return w
 }
 
 // walkSeeds returns the first seed and the one after the last.
