core/sched: a worker that may hold late renewals answers polls at once

What callers could see: tasks of a worker that has restarted and is cut off within 0.7 s wait for 18.4 s, the longest delay of calls and the longest lease, before they are started elsewhere. Cause: after a restart has become known, that wait ends once the worker has answered a call of the later generation; but that poll waited at the worker for an end, for up to 0.7 s, and its answer was cut off. Change: such a poll is answered at once. Why it works: the worker refuses late renewals from the poll's arrival on, and the answer shows so. TestWorkerAnswersAtOnceWhileLateRenewalsCount failed before.

--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -121,10 +121,7 @@
 				continue
 			}
 		default:
-			order.Lease, order.MaxWait = sc.options.Lease, sc.options.RenewalInterval
-			if now.Before(w.recheckAt) {
-				order.MaxWait = min(order.MaxWait, w.recheckAt.Sub(now))
-			}
+			order.Lease, order.MaxWait = sc.options.Lease, sc.pollWait(now, w)
 		}
 		if order.Lease > 0 {
 			w.renewalsInFlight++
@@ -134,3 +131,16 @@
 		sc.orderImmediately(order)
 	}
 }
+
+// pollWait returns how long a busy worker may wait for an end before it answers a poll.
+func (sc *Scheduler) pollWait(now time.Time, w *worker) time.Duration {
+	switch {
+	case w.lateRenewalsBefore != 0:
+		// The answer shows that it refuses late renewals.
+		return 0
+	case now.Before(w.recheckAt):
+		return min(sc.options.RenewalInterval, w.recheckAt.Sub(now))
+	default:
+		return sc.options.RenewalInterval
+	}
+}
--- a/core/sched/leases_test.go
+++ b/core/sched/leases_test.go
@@ -55,6 +55,16 @@
 	assertLongestLease(t, b.waitUntilStartedElsewhere("w1", answered))
 }
 
+// Guards against tasks that wait for the longest delay of calls and the longest lease: a worker has answered after its restart became known, and is
+// cut off while a poll waits there for an end.
+func TestWorkerAnswersAtOnceWhileLateRenewalsCount(t *testing.T) {
+	b := newTestBench(t, 1)
+	b.startOnFirstWorker()
+	b.restartWorker("w1")
+	b.answerPoll(b.nextPoll("w1"))
+	assert.Equal(t, b.nextPoll("w1").MaxWait, time.Duration(0))
+}
+
 // Guards against a run that outlives the lease which the scheduler counts: the answer to its start shows a restart by its clock, and another start
 // of the same generation has had no answer shortly before.
 func TestRestartThatAClockShowsCountsAlsoAfterACallWithoutAnswer(t *testing.T) {
