core/sched: what is known of the orders to start a run stands in a type of its own

Cause: six fields of a run, spread over seven files, told which copies of its start order may still be carried out. Change: startOrders holds them, with the questions that are asked of it. No change of behaviour.

--- a/core/sched/generation.go
+++ b/core/sched/generation.go
@@ -1,7 +1,5 @@
 package sched
 
-import "time"
-
 const (
 	// Low bits of a fencing token, which number the generations of an owner's calls.
 	generationBits = 24
@@ -50,8 +48,6 @@
 // generation.
 func (w *worker) clearUnanswered(generation int64) {
 	for _, r := range w.runList {
-		if r.unansweredAs < generation {
-			r.unansweredAt = time.Time{}
-		}
+		r.starts.clearUnanswered(generation)
 	}
 }
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -246,13 +246,8 @@
 	number            int // attempt number, from 1
 	worker            *worker
 	phase             runPhase
-	retries           int       // repeated start orders
-	inherited         bool      // an earlier owner started it, and this one has found it running
-	startPending      bool      // the start order has not been answered yet
-	repeatPending     bool      // a repeated start order has not been answered yet
-	repeatedAs        int64     // generation of that order
-	unansweredAt      time.Time // when a start order was given up without an answer, zero if the worker refuses that order by now
-	unansweredAs      int64     // generation of that order
+	inherited         bool // an earlier owner started it, and this one has found it running
+	starts            startOrders
 	startedAt         time.Time // when the start was confirmed
 	absenceValidAfter time.Time // a poll sent after this that doesn't list the run proves that the worker doesn't have it
 	missingSince      time.Time // when the first answer arrived that didn't list the run while it may have been stopping
--- a/core/sched/leases.go
+++ b/core/sched/leases.go
@@ -119,5 +119,5 @@
 // hasLeaseExpired reports whether a run can't hold a lease any more, given that those of all confirmed runs on its worker have expired. A
 // start order without an answer may have been carried out by an incarnation that the scheduler doesn't know yet.
 func (sc *Scheduler) hasLeaseExpired(now time.Time, r *run) bool {
-	return r.unansweredAt.IsZero() || !now.Before(r.unansweredAt.Add(sc.options.maxLeaseExpiryBound()))
+	return r.starts.unansweredAt.IsZero() || !now.Before(r.starts.unansweredAt.Add(sc.options.maxLeaseExpiryBound()))
 }
--- a/core/sched/lifecycle.go
+++ b/core/sched/lifecycle.go
@@ -199,7 +199,7 @@
 
 // detachRun removes an ended attempt from its worker, and from the counts of the step, job, team and pool.
 func (sc *Scheduler) detachRun(r *run) {
-	if r.startPending {
+	if r.starts.firstPending {
 		sc.startWindow.inFlight--
 	}
 	t := r.task
--- a/core/sched/load_control.go
+++ b/core/sched/load_control.go
@@ -125,8 +125,8 @@
 // recordStartAnswer updates the start window and the call latency after an answer to a start. Only the first answer lowers
 // the number of starts in flight.
 func (sc *Scheduler) recordStartAnswer(now time.Time, r *run, res StartResult) {
-	if r.startPending {
-		r.startPending = false
+	if r.starts.firstPending {
+		r.starts.firstPending = false
 		sc.startWindow.inFlight--
 	}
 	if res.Answer == AnswerOK && sc.callLatency.observe(now, res.Latency) {
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -94,7 +94,7 @@
 // startOn records the start of an attempt. The order to the worker is sent once the record is stored.
 func (sc *Scheduler) startOn(t *task, w *worker, attempt int) {
 	id := t.id()
-	sc.addRun(t, w, attempt).startPending = true
+	sc.addRun(t, w, attempt).starts.firstPending = true
 	sc.startWindow.inFlight++
 	w.renewalsInFlight++
 	sc.counters.started++
--- a/core/sched/polls.go
+++ b/core/sched/polls.go
@@ -195,7 +195,7 @@
 	switch {
 	case r.absenceValidAfter.IsZero() && r.phase != runInherited, !sentAt.After(r.absenceValidAfter):
 		return false
-	case r.mayStartAfter(generation):
+	case r.starts.mayArriveAfter(generation):
 		return false
 	case !mayBeStopping:
 		return true
--- a/core/sched/run_end.go
+++ b/core/sched/run_end.go
@@ -87,9 +87,7 @@
 }
 
 // mayStillStart reports whether a start order for the run may be carried out yet.
-func (r *run) mayStillStart() bool {
-	return r.phase != runConfirmed || r.repeatPending || !r.unansweredAt.IsZero()
-}
+func (r *run) mayStillStart() bool { return r.phase != runConfirmed || r.starts.mayCopyArrive() }
 
 // endLateStarts ends the attempts on workers whose incarnation has ended, and whose start orders have had no answer for lateStartWait.
 func (sc *Scheduler) endLateStarts(now time.Time) {
@@ -98,7 +96,7 @@
 			continue
 		}
 		for _, r := range slices.Clone(w.runList) {
-			if !r.startPending && !r.repeatPending && now.Sub(r.unansweredAt) >= lateStartWait {
+			if !r.starts.isInFlight() && now.Sub(r.starts.unansweredAt) >= lateStartWait {
 				sc.endRun(now, r, AttemptLost, "")
 			}
 		}
--- a/core/sched/starts.go
+++ b/core/sched/starts.go
@@ -32,11 +32,11 @@
 		return
 	}
 	sc.recordStartAnswer(now, r, res)
-	r.repeatPending = false
+	r.starts.repeatPending = false
 	if r.phase == runConfirmed {
-		if res.Answer == AnswerUnknown && r.retries > 0 {
+		if res.Answer == AnswerUnknown && r.starts.repeats > 0 {
 			// Another copy of the order has started the run, so that this one may still be carried out.
-			r.recordUnansweredStart(now, res.Order.Generation)
+			r.starts.markUnanswered(now, res.Order.Generation)
 		}
 		return
 	}
@@ -105,7 +105,7 @@
 // so that a delayed order can't start it later.
 func (sc *Scheduler) retryStart(now time.Time, r *run, o StartTask, latency time.Duration) {
 	r.phase = runUnknown
-	r.recordUnansweredStart(now, o.Generation)
+	r.starts.markUnanswered(now, o.Generation)
 	sc.logDecision(now, "start-unanswered", r.task.id().String(), r.worker.id, fmt.Sprintf("attempt %d, incarnation %d", r.number, r.worker.incarnation))
 	if r.worker.unanswered == 0 {
 		r.worker.markUnanswered(now, latency >= callTimeout)
@@ -114,10 +114,10 @@
 	if r.stopping {
 		return
 	}
-	if r.retries++; r.retries <= maxStartRetries && !r.worker.evacuated {
+	if r.starts.repeats++; r.starts.repeats <= maxStartRetries && !r.worker.evacuated {
 		r.worker.renewalsInFlight++
 		o.Generation = r.worker.generation
-		r.repeatPending, r.repeatedAs = true, o.Generation
+		r.starts.repeat(o.Generation)
 		sc.orderImmediately(o)
 		return
 	}
@@ -125,16 +125,6 @@
 	sc.stopRun(now, r)
 }
 
-// recordUnansweredStart records that a start order of the generation got no answer, and may still be carried out.
-func (r *run) recordUnansweredStart(now time.Time, generation int64) {
-	r.unansweredAt, r.unansweredAs = now, max(r.unansweredAs, generation)
-}
-
-// mayStartAfter reports whether a worker that has received a call of the generation may still carry out a start order for the run.
-func (r *run) mayStartAfter(generation int64) bool {
-	return !r.unansweredAt.IsZero() && generation <= r.unansweredAs || r.repeatPending && generation <= r.repeatedAs
-}
-
 // IsStartWanted reports whether a start should still be sent after the wait for its record to be stored. Its worker's capacity may
 // have shrunk meanwhile, its data centre be evacuated, or the worker have restarted or fallen silent.
 func (sc *Scheduler) IsStartWanted(o StartTask) bool {
