core/sched: a field's comment

Cause: the read-through; how often a start order was repeated had no comment. Change: it has one. Result: the formatter is clean; no behaviour changes.

--- a/core/sched/start_orders.go
+++ b/core/sched/start_orders.go
@@ -5,8 +5,8 @@
 // startOrders is what is known of the orders to start a run. An order without an answer is repeated, and several copies may be on their
 // way to the worker; one of them starts the run.
 type startOrders struct {
-	firstPending     bool // the first order has not been answered yet
-	repeats          int
+	firstPending     bool      // the first order has not been answered yet
+	repeats          int       // how often the order was repeated
 	repeatPending    bool      // a repeated order has not been answered yet
 	repeatGeneration int64     // generation of the last repeated order
 	unansweredAt     time.Time // when an order got no answer, zero if the worker refuses it by now
