core/sched: tests of barred starts share how they look for the next start

Cause: two tests had the same loop, which looks for the task's next start and for a call that bars the late one. Change: it stands once, beside the first.

--- a/core/sched/generation_test.go
+++ b/core/sched/generation_test.go
@@ -7,6 +7,25 @@
 	"gotest.tools/v3/assert"
 )
 
+// assertBarredBeforeNextStart answers the polls of the start's worker, which lists nothing, until the task is started again. Before, the worker must have
+// received a call of a later generation, which makes it refuse the start.
+func (b *testBench) assertBarredBeforeNextStart(start StartTask) {
+	b.t.Helper()
+	refuses := false
+	var next []StartTask
+	for range 20 {
+		next = takeOrders[StartTask](b)
+		if len(next) > 0 {
+			break
+		}
+		o := b.nextPoll(start.Worker)
+		b.answerPoll(o)
+		refuses = refuses || o.Generation > start.Generation
+	}
+	assert.Equal(b.t, len(next), 1, "the task is never started again")
+	assert.Assert(b.t, refuses, "the new life has received no call that makes it refuse the late start")
+}
+
 // Guards against a late start of an attempt that has a successor: one copy of its start order had no answer, a later one was answered, and
 // the copy is carried out on a new life of the worker, which knows nothing of the attempt.
 func TestAttemptWithAnUnansweredStartIsReplacedOnlyOnceANewLifeRefusesTheStart(t *testing.T) {
@@ -33,19 +52,7 @@
 			b.advance(100 * time.Millisecond)
 			b.restartWorker(start.Worker)
 			b.answerPoll(earlierPoll)
-			refuses := false
-			var next []StartTask
-			for range 20 {
-				next = takeOrders[StartTask](b)
-				if len(next) > 0 {
-					break
-				}
-				o := b.nextPoll(start.Worker)
-				b.answerPoll(o)
-				refuses = refuses || o.Generation > start.Generation
-			}
-			assert.Equal(t, len(next), 1, "the task is never started again")
-			assert.Assert(t, refuses, "the new life has received no call that makes it refuse the late start")
+			b.assertBarredBeforeNextStart(start)
 		})
 	}
 }
--- a/core/sched/repeated_start_test.go
+++ b/core/sched/repeated_start_test.go
@@ -54,18 +54,7 @@
 				b.advance(s.failsAfter)
 				fail()
 			}
-			refuses := false
-			var next []StartTask
-			for range 20 {
-				if next = takeOrders[StartTask](b); len(next) > 0 {
-					break
-				}
-				o := b.nextPoll(repeated.Worker)
-				b.answerPoll(o)
-				refuses = refuses || o.Generation > repeated.Generation
-			}
-			assert.Equal(t, len(next), 1, "the task is never started again")
-			assert.Assert(t, refuses, "the new life has received no call that makes it refuse the repeated order")
+			b.assertBarredBeforeNextStart(repeated)
 		})
 	}
 }
