--- a/core/sched/leases.go
+++ b/core/sched/leases.go
@@ -34,7 +34,7 @@
 }
 
 // keepFormerLeases remembers that calls which were sent to a worker before its removal may have renewed leases, or may do so yet. The worker
-// may come back under its ID, as the same life or as another one.
+// may come back under its ID, in the same incarnation or in another one.
 func (sc *Scheduler) keepFormerLeases(now time.Time, w *worker) {
 	if w.renewalsInFlight > 0 {
 		w.extendLeaseExpiry(now)
