--- /dev/null
+++ b/review/stand-3/cases.go
@@ -0,0 +1,224 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	team      = "vigil"
+	otherTeam = "retail"
+
+	completed  = "completed"
+	failed     = "failed"
+	cancelled  = "cancelled"
+	inProgress = "in_progress"
+)
+
+// crashes: the worker under a task crashes, and the worker under its second run too. The task has never ended failed.
+func crashes(w *world, hasTrouble bool) verdict {
+	const (
+		id      = "5c0e7a21d94b36f8"
+		crashIn = 300 * time.Millisecond
+		downFor = 3200 * time.Millisecond
+		most    = 2
+	)
+	w.addWorkers(poolName, 1, 9)
+	w.addWorkers(spare, 20, 2)
+	var mu sync.Mutex
+	crashed := 0
+	w.onStart = func(k *worker, _ string, _ int) {
+		mu.Lock()
+		defer mu.Unlock()
+		if hasTrouble && crashed < most {
+			crashed++
+			time.AfterFunc(crashIn, func() { k.crash(downFor) })
+		}
+	}
+	w.start(3)
+	if !w.submit(team, id, jobSpec{Spec: "pour", Steps: []stepSpec{{Count: 1, CPU: 1900, MemMB: 3900, EstimateMs: 1300}}}) {
+		return verdict{exitNotRun, "the job was not accepted"}
+	}
+	state := ""
+	w.wait(60*time.Second, func() bool {
+		state = w.state(team, id)
+		return state == completed || state == failed || state == cancelled
+	})
+	ends := fmt.Sprintf("%d runs ended failed, %d were lost with their worker, %d ended done", w.count("failed"), w.count("lost"), w.count("done"))
+	switch {
+	case state == completed:
+		return verdict{exitHeld, "the job is completed; " + ends}
+	case state == failed && w.count("failed") < 3:
+		return verdict{exitBroken, "the job is shown as failed; " + ends}
+	default:
+		return verdict{exitNotRun, "the job is " + state + "; " + ends}
+	}
+}
+
+// foreign: a consumer of another tenant sends a DELETE for a job of this one, with its own key.
+func foreign(w *world, hasTrouble bool) verdict {
+	const id = "5c0e7a21d94b36f8"
+	w.addWorkers(poolName, 1, 3)
+	w.start(3)
+	if !w.submit(team, id, jobSpec{Spec: "reprint", Steps: []stepSpec{{Count: 2, CPU: 1300, MemMB: 4800, EstimateMs: 90000, LongRunning: true}}}) {
+		return verdict{exitNotRun, "the job was not accepted"}
+	}
+	if !w.wait(15*time.Second, func() bool { return w.state(team, id) == inProgress }) {
+		return verdict{exitNotRun, "the job was not started"}
+	}
+	if hasTrouble {
+		w.call(w.gates[1], otherTeam, http.MethodGet, id, nil)
+		w.call(w.gates[1], otherTeam, http.MethodDelete, id, nil)
+	}
+	time.Sleep(4 * time.Second)
+	state, stopped := w.state(team, id), w.count("stopped")
+	what := fmt.Sprintf("its tenant, which has not cancelled it, sees the job as %s; %d of its tasks were stopped", state, stopped)
+	if state == cancelled || stopped > 0 {
+		return verdict{exitBroken, what}
+	}
+	return verdict{exitHeld, what}
+}
+
+// lateUpkeep: the order of a machine's upkeep gets no answer and is carried out late; the interface refuses calls for a while meanwhile.
+func lateUpkeep(w *world, hasTrouble bool) verdict {
+	const (
+		wave      = 7
+		lateBy    = 9 * time.Second
+		busyAfter = 3200 * time.Millisecond
+		busyFor   = 2500 * time.Millisecond
+	)
+	w.addWorkers(poolName, 1, 8)
+	w.addWorkers(spare, 20, 2)
+	w.waveCap = 1
+	if hasTrouble {
+		w.cloud.lateMachine, w.cloud.lateBy = "m-001", lateBy
+	}
+	w.start(3)
+	machines := []string{}
+	for _, m := range w.cloud.machines {
+		if m.pool == poolName {
+			machines = append(machines, m.id)
+		}
+	}
+	declared, err := json.Marshal(map[string]any{"wave": wave, "machines": machines, "duration_s": 60, "cap": w.waveCap})
+	check(err)
+	w.log.put("keyed.op", fmt.Sprintf("wave/%d", wave), declared)
+	w.note("wave %d of %s, one at a time, in 60 s", wave, strings.Join(machines, " "))
+	if hasTrouble {
+		if !w.wait(15*time.Second, func() bool { return !w.cloud.lateOrderAt().IsZero() }) {
+			return verdict{exitNotRun, "no upkeep was ordered"}
+		}
+		time.Sleep(time.Until(w.cloud.lateOrderAt().Add(busyAfter)))
+		w.note("the machines' interface answers 503 now")
+		w.cloud.setBusy(true)
+		time.Sleep(busyFor)
+		w.note("the machines' interface serves again")
+		w.cloud.setBusy(false)
+	}
+	isDone := func() bool {
+		return strings.Contains(w.log.get("keyed.status", fmt.Sprintf("wave/%d", wave)), completed)
+	}
+	finished := w.wait(70*time.Second, func() bool { return isDone() || len(w.overlaps) > 0 })
+	switch {
+	case len(w.overlaps) > 0:
+		return verdict{exitBroken, "an upkeep began while the wave's cap was used up: " + strings.Join(w.overlaps, " ")}
+	case !finished:
+		return verdict{exitNotRun, "the wave did not end"}
+	default:
+		return verdict{exitHeld, "no upkeep began beyond the wave's cap"}
+	}
+}
+
+// manyTasks: a tenant's job is accepted and runs. Then a consumer of another tenant hands in jobs of many tasks that no worker can run, and stops.
+// finish_s later the tenant asks for its job.
+func manyTasks(w *world, hasTrouble bool) verdict {
+	const (
+		id          = "5c0e7a21d94b36f8"
+		jobs        = 40
+		pause       = 250 * time.Millisecond
+		wideCount   = 100000
+		usualCount  = 8
+		finish      = 14 * time.Second // finish_s
+		watchFor    = 10 * time.Second
+		idleBound   = 3 * time.Second // the tasks have lasted for far longer than 6 s without a run by then
+		neededLabel = "k9"            // of a kind of worker that this deployment doesn't have
+	)
+	w.addWorkers(poolName, 1, 9)
+	w.start(3)
+	kills := w.enforceMemory()
+	if !w.submit(team, id, jobSpec{Spec: "reprint", Steps: []stepSpec{{Count: 2, CPU: 1300, MemMB: 4800, EstimateMs: 90000, LongRunning: true}}}) {
+		return verdict{exitNotRun, "the job was not accepted"}
+	}
+	if !w.wait(15*time.Second, func() bool { return w.state(team, id) == inProgress }) {
+		return verdict{exitNotRun, "the job was not started"}
+	}
+	step := stepSpec{Count: usualCount, CPU: 100, MemMB: 100, EstimateMs: 300}
+	if hasTrouble {
+		step = stepSpec{Count: wideCount, CPU: 1, MemMB: 1, EstimateMs: 5, Requires: neededLabel}
+	}
+	var sent sync.WaitGroup
+	for n := range jobs {
+		sent.Add(1)
+		go func() {
+			defer sent.Done()
+			w.submitWithRetries(n, otherTeam, fmt.Sprintf("%016x", 0x7a21d94b0000+n), jobSpec{Spec: "stock", Steps: []stepSpec{step}})
+		}()
+		time.Sleep(pause)
+	}
+	sent.Wait()
+	w.note("the traffic has ended")
+	time.Sleep(finish)
+	w.note("finish_s has passed: the job is asked for, and its tasks are watched")
+	longestIdle, answers := time.Duration(0), 0
+	began := time.Now()
+	for lastRan := began; time.Since(began) < watchFor; time.Sleep(100 * time.Millisecond) {
+		if w.running(id) > 0 {
+			lastRan = time.Now()
+		}
+		longestIdle = max(longestIdle, time.Since(lastRan))
+		if status, _ := w.call(w.gates[0], team, http.MethodGet, id, nil); status == http.StatusOK {
+			answers++
+		}
+	}
+	what := fmt.Sprintf("none of the job's tasks ran for %.1f s on end after finish_s; gates were killed for their memory %d times; its state was told %d times",
+		longestIdle.Seconds(), kills(), answers)
+	if longestIdle >= idleBound {
+		return verdict{exitBroken, what}
+	}
+	return verdict{exitHeld, what}
+}
+
+// shortHistory: the log keeps its records for 20 s, and the owner of the scheduler is killed after 40 s.
+func shortHistory(w *world, hasTrouble bool) verdict {
+	const id, waitFor = "5c0e7a21d94b36f8", 40 * time.Second
+	w.addWorkers(poolName, 1, 3)
+	w.start(3)
+	if !w.submit(team, id, jobSpec{Spec: "reprint", Steps: []stepSpec{{Count: 2, CPU: 1300, MemMB: 4800, EstimateMs: 90000, LongRunning: true}}}) {
+		return verdict{exitNotRun, "the job was not accepted"}
+	}
+	if !w.wait(15*time.Second, func() bool { return w.state(team, id) == inProgress }) {
+		return verdict{exitNotRun, "the job was not started"}
+	}
+	time.Sleep(waitFor)
+	if hasTrouble {
+		g := w.owner()
+		if g == nil {
+			return verdict{exitNotRun, "no gate is the owner"}
+		}
+		w.note("%s, which owns the scheduler, is killed", g.name)
+		g.kill()
+		time.Sleep(time.Second)
+		g.start()
+	}
+	time.Sleep(10 * time.Second)
+	state := w.state(team, id)
+	what := fmt.Sprintf("the job is %s 10 s later; %d of its tasks were stopped", state, w.count("stopped"))
+	if state == "gone" || w.count("stopped") > 0 {
+		return verdict{exitBroken, what}
+	}
+	return verdict{exitHeld, what}
+}
