--- a/review/stand-3/cases.go
+++ b/review/stand-3/cases.go
@@ -133,19 +133,19 @@
 	}
 }
 
-// manyTasks: a tenant's job is accepted and runs. Then a consumer of another tenant hands in jobs of many tasks that no worker can run, and stops.
-// finish_s later the tenant asks for its job.
-func manyTasks(w *world, hasTrouble bool) verdict {
+// scheduledJob: a tenant's job is accepted and runs. Then a consumer of another tenant hands in one scheduled job with a short interval. finish_s
+// later the tenant asks for its job.
+func scheduledJob(w *world, hasTrouble bool) verdict {
 	const (
-		id          = "5c0e7a21d94b36f8"
-		jobs        = 40
-		pause       = 250 * time.Millisecond
-		wideCount   = 100000
-		usualCount  = 8
-		finish      = 14 * time.Second // finish_s
-		watchFor    = 10 * time.Second
-		idleBound   = 3 * time.Second // the tasks have lasted for far longer than 6 s without a run by then
-		neededLabel = "k9"            // of a kind of worker that this deployment doesn't have
+		id            = "5c0e7a21d94b36f8"
+		otherID       = "00007a21d94b0000"
+		repetitions   = 5000
+		usualInterval = 2000             // in milliseconds
+		shortInterval = 1                // in milliseconds
+		finish        = 14 * time.Second // finish_s
+		watchFor      = 10 * time.Second // from then on
+		idleBound     = 3 * time.Second  // the tasks have been without a run for far longer than 6 s by then
+		startIn       = 1 * time.Second
 	)
 	w.addWorkers(poolName, 1, 9)
 	w.start(3)
@@ -156,20 +156,17 @@
 	if !w.wait(15*time.Second, func() bool { return w.state(team, id) == inProgress }) {
 		return verdict{exitNotRun, "the job was not started"}
 	}
-	step := stepSpec{Count: usualCount, CPU: 100, MemMB: 100, EstimateMs: 300}
+	interval := int64(usualInterval)
 	if hasTrouble {
-		step = stepSpec{Count: wideCount, CPU: 1, MemMB: 1, EstimateMs: 5, Requires: neededLabel}
+		interval = shortInterval
+	}
+	scheduled := jobSpec{
+		Spec: "stock", Steps: []stepSpec{{Count: 1000, CPU: 880, MemMB: 1800, EstimateMs: 1000}},
+		StartMs: time.Now().Add(startIn).UnixMilli(), IntervalMs: interval, Repetitions: repetitions,
+	}
+	if !w.submit(otherTeam, otherID, scheduled) {
+		return verdict{exitHeld, "the scheduled job was refused"}
 	}
-	var sent sync.WaitGroup
-	for n := range jobs {
-		sent.Add(1)
-		go func() {
-			defer sent.Done()
-			w.submitWithRetries(n, otherTeam, fmt.Sprintf("%016x", 0x7a21d94b0000+n), jobSpec{Spec: "stock", Steps: []stepSpec{step}})
-		}()
-		time.Sleep(pause)
-	}
-	sent.Wait()
 	w.note("the traffic has ended")
 	time.Sleep(finish)
 	w.note("finish_s has passed: the job is asked for, and its tasks are watched")
@@ -186,38 +183,51 @@
 	}
 	what := fmt.Sprintf("none of the job's tasks ran for %.1f s on end after finish_s; gates were killed for their memory %d times; its state was told %d times",
 		longestIdle.Seconds(), kills(), answers)
-	if longestIdle >= idleBound {
+	if longestIdle >= idleBound || answers == 0 {
 		return verdict{exitBroken, what}
 	}
 	return verdict{exitHeld, what}
 }
 
-// shortHistory: the log keeps its records for 20 s, and the owner of the scheduler is killed after 40 s.
-func shortHistory(w *world, hasTrouble bool) verdict {
-	const id, waitFor = "5c0e7a21d94b36f8", 40 * time.Second
-	w.addWorkers(poolName, 1, 3)
+// manySteps: a tenant's job of lasting tasks runs. Then a consumer of another tenant hands in jobs of many steps.
+func manySteps(w *world, hasTrouble bool) verdict {
+	const (
+		id          = "5c0e7a21d94b36f8"
+		jobs        = 12
+		wideSteps   = 6000
+		fewSteps    = 4
+		neededLabel = "k9" // of a kind of worker that this deployment doesn't have
+		watchFor    = 40 * time.Second
+	)
+	w.addWorkers(poolName, 1, 9)
 	w.start(3)
-	if !w.submit(team, id, jobSpec{Spec: "reprint", Steps: []stepSpec{{Count: 2, CPU: 1300, MemMB: 4800, EstimateMs: 90000, LongRunning: true}}}) {
+	lasting := stepSpec{Count: 5, CPU: 1300, MemMB: 4800, EstimateMs: 90000, LongRunning: true, MaxPerWorker: 1, MaxUnavailable: 1}
+	if !w.submit(team, id, jobSpec{Spec: "reprint", Steps: []stepSpec{lasting}}) {
 		return verdict{exitNotRun, "the job was not accepted"}
 	}
-	if !w.wait(15*time.Second, func() bool { return w.state(team, id) == inProgress }) {
+	if !w.wait(15*time.Second, func() bool { return w.running(id) == lasting.Count }) {
 		return verdict{exitNotRun, "the job was not started"}
 	}
-	time.Sleep(waitFor)
+	steps := fewSteps
 	if hasTrouble {
-		g := w.owner()
-		if g == nil {
-			return verdict{exitNotRun, "no gate is the owner"}
+		steps = wideSteps
+	}
+	for n := range jobs {
+		if w.count("lapsed") > 0 {
+			break
 		}
-		w.note("%s, which owns the scheduler, is killed", g.name)
-		g.kill()
-		time.Sleep(time.Second)
-		g.start()
-	}
-	time.Sleep(10 * time.Second)
-	state := w.state(team, id)
-	what := fmt.Sprintf("the job is %s 10 s later; %d of its tasks were stopped", state, w.count("stopped"))
-	if state == "gone" || w.count("stopped") > 0 {
+		job := jobSpec{Spec: "stock"}
+		for range steps {
+			job.Steps = append(job.Steps, stepSpec{Count: 1, CPU: 1, Requires: neededLabel})
+		}
+		w.submitWithRetries(n, otherTeam, fmt.Sprintf("%016x", 0x7a21d94b0000+n), job)
+	}
+	began := time.Now()
+	for time.Since(began) < watchFor && w.count("lapsed") < 2 {
+		time.Sleep(200 * time.Millisecond)
+	}
+	what := fmt.Sprintf("%d lasting tasks ended as their leases lapsed", w.count("lapsed"))
+	if w.count("lapsed") > lasting.MaxUnavailable {
 		return verdict{exitBroken, what}
 	}
 	return verdict{exitHeld, what}
--- a/review/stand-3/log.go
+++ b/review/stand-3/log.go
@@ -13,10 +13,11 @@
 	"time"
 )
 
+// retention is keep_s of the settings.
+const retention = 300 * time.Second
+
 // platformLog is a stand-in for the platform's log: it follows the section "The platform's metadata store" of PROTOCOL.md.
 type platformLog struct {
-	retention time.Duration // records are deleted when they are older; 0 keeps them
-
 	mu     sync.Mutex
 	topics map[partitionName]*partition
 }
@@ -58,8 +59,8 @@
 	Expected  int64  `json:"sequence,omitempty"`
 }
 
-func newPlatformLog(retention time.Duration) *platformLog {
-	return &platformLog{retention: retention, topics: map[partitionName]*partition{}}
+func newPlatformLog() *platformLog {
+	return &platformLog{topics: map[partitionName]*partition{}}
 }
 
 // partition returns a partition, without the records that have expired. The lock must be held.
@@ -69,8 +70,7 @@
 		p = &partition{newest: map[string]newestValue{}, producers: map[string]*producer{}, appended: make(chan struct{})}
 		l.topics[name] = p
 	}
-	if l.retention > 0 {
-		limit, expired := time.Now().Add(-l.retention), 0
+	if limit, expired := time.Now().Add(-retention), 0; len(p.records) > 0 && p.records[0].storedAt.Before(limit) {
 		for expired < len(p.records) && p.records[expired].storedAt.Before(limit) {
 			expired++
 		}
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -31,15 +31,12 @@
 	why  string
 }
 
-var cases = map[string]struct {
-	retention time.Duration
-	run       runCase
-}{
-	"crashes": {run: crashes},
-	"foreign": {run: foreign},
-	"wave":    {run: lateUpkeep},
-	"tasks":   {run: manyTasks},
-	"history": {retention: 20 * time.Second, run: shortHistory},
+var cases = map[string]runCase{
+	"crashes":  crashes,
+	"foreign":  foreign,
+	"wave":     lateUpkeep,
+	"schedule": scheduledJob,
+	"steps":    manySteps,
 }
 
 func main() {
@@ -47,18 +44,18 @@
 		fmt.Fprintln(os.Stderr, "usage: stand3 CASE FOLDER")
 		os.Exit(exitNotRun)
 	}
-	c, known := cases[os.Args[1]]
+	run, known := cases[os.Args[1]]
 	if !known {
 		fmt.Fprintln(os.Stderr, "no such case")
 		os.Exit(exitNotRun)
 	}
 	hasTrouble := os.Getenv("TROUBLE") != "0"
-	w := newWorld(recordPath(os.Args[2]), c.retention)
+	w := newWorld(recordPath(os.Args[2]))
 	w.note("case %s, disruption: %v", os.Args[1], hasTrouble)
 	ended := make(chan os.Signal, 1)
 	signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM)
 	done := make(chan verdict, 1)
-	go func() { done <- c.run(w, hasTrouble) }()
+	go func() { done <- run(w, hasTrouble) }()
 	var v verdict
 	select {
 	case v = <-done:
--- a/review/stand-3/world.go
+++ b/review/stand-3/world.go
@@ -44,17 +44,22 @@
 }
 
 type jobSpec struct {
-	Spec  string     `json:"spec"`
-	Steps []stepSpec `json:"steps"`
+	Spec        string     `json:"spec"`
+	Steps       []stepSpec `json:"steps"`
+	StartMs     int64      `json:"start_at_ms,omitempty"`
+	IntervalMs  int64      `json:"interval_ms,omitempty"`
+	Repetitions int        `json:"repetitions,omitempty"`
 }
 
 type stepSpec struct {
-	Count       int    `json:"count"`
-	CPU         int    `json:"cpu"`
-	MemMB       int    `json:"mem_mb"`
-	EstimateMs  int    `json:"estimated_ms,omitempty"`
-	LongRunning bool   `json:"long_running,omitempty"`
-	Requires    string `json:"requirements,omitempty"`
+	Count          int    `json:"count"`
+	CPU            int    `json:"cpu"`
+	MemMB          int    `json:"mem_mb,omitempty"`
+	EstimateMs     int    `json:"estimated_ms,omitempty"`
+	LongRunning    bool   `json:"long_running,omitempty"`
+	Requires       string `json:"requirements,omitempty"`
+	MaxPerWorker   int    `json:"anti_affinity,omitempty"`
+	MaxUnavailable int    `json:"max_unavailable,omitempty"`
 }
 
 // duration returns how long a task of the step runs by itself.
@@ -73,13 +78,13 @@
 }
 
 // newWorld starts the stand-ins. recordFile takes the record of the run.
-func newWorld(recordFile string, retention time.Duration) *world {
+func newWorld(recordFile string) *world {
 	dir, err := os.MkdirTemp("", "review-3-")
 	check(err)
 	record, err := os.Create(recordFile)
 	check(err)
 	w := &world{
-		dir: dir, log: newPlatformLog(retention), record: record, began: time.Now(), seed: os.Getpid(), jobs: map[string]jobSpec{}, ends: map[string][]string{},
+		dir: dir, log: newPlatformLog(), record: record, began: time.Now(), seed: os.Getpid(), jobs: map[string]jobSpec{}, ends: map[string][]string{},
 		starts: map[string]int{}, keysOfTeam: map[string]string{"vigil": "key-of-vigil-1f0c", "retail": "key-of-retail-7a2b"},
 	}
 	w.cloud = newCloud(w)
