--- a/review/stand-3/cases.go
+++ b/review/stand-3/cases.go
@@ -14,49 +14,47 @@
 	otherTeam = "retail"
 
 	completed  = "completed"
-	failed     = "failed"
 	cancelled  = "cancelled"
 	inProgress = "in_progress"
 )
 
-// crashes: the worker under a task crashes, and the worker under its second run too. The task has never ended failed.
+// crashes: the worker under one of a job's lasting tasks crashes, and the worker under its next run too.
 func crashes(w *world, hasTrouble bool) verdict {
 	const (
-		id      = "5c0e7a21d94b36f8"
-		crashIn = 300 * time.Millisecond
-		downFor = 3200 * time.Millisecond
-		most    = 2
+		id       = "5c0e7a21d94b36f8"
+		task     = id + ".0.0.0"
+		crashIn  = 300 * time.Millisecond
+		downFor  = 3200 * time.Millisecond
+		most     = 2
+		watchFor = 20 * time.Second
 	)
 	w.addWorkers(poolName, 1, 9)
 	w.addWorkers(spare, 20, 2)
 	var mu sync.Mutex
 	crashed := 0
-	w.onStart = func(k *worker, _ string, _ int) {
+	w.onStart = func(k *worker, started string, _ int) {
 		mu.Lock()
 		defer mu.Unlock()
-		if hasTrouble && crashed < most {
+		if hasTrouble && started == task && crashed < most {
 			crashed++
 			time.AfterFunc(crashIn, func() { k.crash(downFor) })
 		}
 	}
 	w.start(3)
-	if !w.submit(team, id, jobSpec{Spec: "pour", Steps: []stepSpec{{Count: 1, CPU: 1900, MemMB: 3900, EstimateMs: 1300}}}) {
+	lasting := stepSpec{Count: 5, CPU: 1500, MemMB: 4800, EstimateMs: 90000, LongRunning: true, MaxPerWorker: 1, MaxUnavailable: 1}
+	if !w.submit(team, id, jobSpec{Spec: "archive", Steps: []stepSpec{lasting}}) {
 		return verdict{exitNotRun, "the job was not accepted"}
 	}
-	state := ""
-	w.wait(60*time.Second, func() bool {
-		state = w.state(team, id)
-		return state == completed || state == failed || state == cancelled
-	})
-	ends := fmt.Sprintf("%d runs ended failed, %d were lost with their worker, %d ended done", w.count("failed"), w.count("lost"), w.count("done"))
-	switch {
-	case state == completed:
-		return verdict{exitHeld, "the job is completed; " + ends}
-	case state == failed && w.count("failed") < 3:
-		return verdict{exitBroken, "the job is shown as failed; " + ends}
-	default:
-		return verdict{exitNotRun, "the job is " + state + "; " + ends}
+	if !w.wait(15*time.Second, func() bool { return w.running(id) == lasting.Count }) {
+		return verdict{exitNotRun, "the job was not started"}
 	}
+	time.Sleep(watchFor)
+	state := w.state(team, id)
+	what := fmt.Sprintf("the job is shown as %s; %d of its %d tasks run; stopped while max_unavailable others were away: %s", state, w.running(id), lasting.Count, strings.Join(w.interrupts, ", "))
+	if len(w.interrupts) > 0 {
+		return verdict{exitBroken, what}
+	}
+	return verdict{exitHeld, what}
 }
 
 // foreign: a consumer of another tenant sends a DELETE for a job of this one, with its own key.
--- a/review/stand-3/worker.go
+++ b/review/stand-3/worker.go
@@ -290,6 +290,7 @@
 		r.stopping = true
 		born := k.born
 		k.world.note("worker %s is told to stop attempt %d of %s", k.id, o.Attempt, o.Task)
+		k.world.stops(o.Task, r.step)
 		time.AfterFunc(stopTime, func() { k.finish(r, born, "stopped") })
 	}
 	return http.StatusOK, map[string]any{}
--- a/review/stand-3/world.go
+++ b/review/stand-3/world.go
@@ -37,7 +37,8 @@
 	jobs       map[string]jobSpec
 	onStart    func(k *worker, task string, attempt int)
 	ends       map[string][]string // by task: how its runs have ended
-	starts     map[string]int      // by task
+	atWork     map[string]bool     // tasks that run on a worker that is up and have not been told to stop
+	interrupts []string            // stops of lasting tasks while max_unavailable others of their step were away
 	overlaps   []string            // upkeeps that began while the wave's cap was used up
 	waveCap    int
 	keysOfTeam map[string]string
@@ -85,7 +86,7 @@
 	check(err)
 	w := &world{
 		dir: dir, log: newPlatformLog(), record: record, began: time.Now(), seed: os.Getpid(), jobs: map[string]jobSpec{}, ends: map[string][]string{},
-		starts: map[string]int{}, keysOfTeam: map[string]string{"vigil": "key-of-vigil-1f0c", "retail": "key-of-retail-7a2b"},
+		atWork: map[string]bool{}, keysOfTeam: map[string]string{"vigil": "key-of-vigil-1f0c", "retail": "key-of-retail-7a2b"},
 	}
 	w.cloud = newCloud(w)
 	return w
@@ -313,7 +314,7 @@
 
 func (w *world) started(k *worker, task string, attempt int) {
 	w.mu.Lock()
-	w.starts[task]++
+	w.atWork[task] = true
 	notify := w.onStart
 	w.mu.Unlock()
 	if notify != nil {
@@ -325,6 +326,27 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.ends[task] = append(w.ends[task], how)
+	delete(w.atWork, task)
+}
+
+// stops records that a worker that is up is told to stop a task that is at work.
+func (w *world) stops(task string, step stepSpec) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.atWork[task] || step.MaxUnavailable == 0 {
+		return
+	}
+	delete(w.atWork, task)
+	nameOfStep := task[:strings.LastIndex(task, ".")]
+	away := step.Count - 1
+	for other := range w.atWork {
+		if strings.HasPrefix(other, nameOfStep+".") {
+			away--
+		}
+	}
+	if away >= step.MaxUnavailable {
+		w.interrupts = append(w.interrupts, fmt.Sprintf("%s (%d others away)", task, away))
+	}
 }
 
 // running returns how many tasks of the job run on workers.
