--- a/review/stand-3/cases.go
+++ b/review/stand-3/cases.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -230,3 +231,84 @@
 	}
 	return verdict{exitHeld, what}
 }
+
+// formerLife: orders to workers get no answer and are carried out late, and workers crash and start again under their ids.
+func formerLife(w *world, hasTrouble bool) verdict {
+	const (
+		downFor  = 600 * time.Millisecond
+		crashGap = time.Second
+		jobGap   = 700 * time.Millisecond
+		playFor  = 100 * time.Second
+		tasks    = 12
+		workers  = 9
+		taskMs   = 3300
+	)
+	w.addWorkers(poolName, 1, workers)
+	w.addWorkers(spare, 20, 2)
+	w.start(3)
+	began := time.Now()
+	if hasTrouble {
+		w.lateUntil = began.Add(playFor)
+	}
+	hasEnded := func() bool { return time.Since(began) > playFor || len(w.doubles()) > 0 }
+	if hasTrouble {
+		go func() {
+			for ; !hasEnded(); time.Sleep(crashGap) {
+				if k := w.cloud.workers()[rand.IntN(workers)]; k.isUp() {
+					k.crash(downFor)
+				}
+			}
+		}()
+	}
+	for n := 0; !hasEnded(); n++ {
+		job := jobSpec{Spec: "pour", Steps: []stepSpec{{Count: tasks, CPU: 1900, MemMB: 3900, EstimateMs: taskMs}}}
+		w.submitWithRetries(n, team, fmt.Sprintf("%016x", 0x5c0e7a210000+n), job)
+		time.Sleep(jobGap)
+	}
+	doubled := w.doubles()
+	if len(doubled) > 0 {
+		return verdict{exitBroken, fmt.Sprintf("after %.0f s: %s", time.Since(began).Seconds(), doubled[0])}
+	}
+	return verdict{exitHeld, "no task ran twice at the same time"}
+}
+
+// oddByte: a worker's report of a task's checkpoint holds a byte that is no text. After the next snapshot of the journal the owner is killed.
+func oddByte(w *world, hasTrouble bool) verdict {
+	const (
+		id         = "5c0e7a21d94b36f8"
+		savingID   = "00007a21d94b0000"
+		snapshotIn = 70 * time.Second
+		watchFor   = 12 * time.Second
+	)
+	w.addWorkers(poolName, 1, 9)
+	w.start(3)
+	if hasTrouble {
+		w.checkpoint = "00000bb8" + oddByteMark
+	} else {
+		w.checkpoint = "00000bb87a21d94b"
+	}
+	if !w.submit(team, id, jobSpec{Spec: "reprint", Steps: []stepSpec{{Count: 2, CPU: 1300, MemMB: 4800, EstimateMs: 90000, LongRunning: true}}}) {
+		return verdict{exitNotRun, "the job was not accepted"}
+	}
+	if !w.submit(otherTeam, savingID, jobSpec{Spec: "stock", Steps: []stepSpec{{Count: 1, CPU: 1900, MemMB: 3900, EstimateMs: 110000, Checkpoints: true}}}) {
+		return verdict{exitNotRun, "the job that saves its progress was not accepted"}
+	}
+	if !w.wait(15*time.Second, func() bool { return w.state(team, id) == inProgress && w.running(savingID) == 1 }) {
+		return verdict{exitNotRun, "the jobs were not started"}
+	}
+	g := w.owner()
+	if g == nil || !w.wait(snapshotIn, func() bool { return strings.Contains(g.log(), "snapshot-marked") }) {
+		return verdict{exitNotRun, "no snapshot was stored"}
+	}
+	w.note("%s, which owns the scheduler, has stored a snapshot, and is killed", g.name)
+	g.kill()
+	time.Sleep(time.Second)
+	g.start()
+	time.Sleep(watchFor)
+	state, other := w.state(team, id), w.state(otherTeam, savingID)
+	what := fmt.Sprintf("the job is %s, the one that saves its progress %s; %d tasks were stopped", state, other, w.count("stopped"))
+	if state == "gone" {
+		return verdict{exitBroken, what}
+	}
+	return verdict{exitHeld, what}
+}
--- a/review/stand-3/log.go
+++ b/review/stand-3/log.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
@@ -131,11 +132,15 @@
 	return n
 }
 
+// oddByteMark stands for a byte that is no text in what a stand-in answers.
+const oddByteMark = "~odd~"
+
 func answerJSON(w http.ResponseWriter, status int, value any) {
 	body, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
 	}
+	body = bytes.ReplaceAll(body, []byte(oddByteMark), []byte{0xff})
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -37,6 +37,8 @@
 	"wave":     lateUpkeep,
 	"schedule": scheduledJob,
 	"steps":    manySteps,
+	"former":   formerLife,
+	"byte":     oddByte,
 }
 
 func main() {
--- a/review/stand-3/worker.go
+++ b/review/stand-3/worker.go
@@ -95,7 +95,7 @@
 	for _, r := range k.runs {
 		r.timer.Stop()
 		k.world.note("worker %s crashes, and attempt %d of %s with it", k.id, r.attempt, r.task)
-		k.world.ran(r.task, "lost")
+		k.world.ran(k, r.task, "lost")
 	}
 	k.runs, k.ends = map[string]*taskRun{}, nil
 	k.mu.Unlock()
@@ -113,7 +113,7 @@
 	for _, r := range k.runs {
 		r.timer.Stop()
 		k.world.note("worker %s leaves, and attempt %d of %s ends with it", k.id, r.attempt, r.task)
-		k.world.ran(r.task, "lost")
+		k.world.ran(k, r.task, "lost")
 	}
 	k.runs, k.ends = map[string]*taskRun{}, nil
 	k.world.log.put("keyed.servers", k.id, nil)
@@ -170,6 +170,12 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		isOrder := r.URL.Path == "/v1/run-start" || r.URL.Path == "/v1/run-stop"
+		if delay, late := k.world.delayOf(); isOrder && late {
+			time.AfterFunc(delay, func() { k.carryOutLate(handle, &o, delay) })
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		k.mu.Lock()
 		born := k.born
 		status, answer := 0, map[string]any(nil)
@@ -196,6 +202,18 @@
 	}
 }
 
+// carryOutLate carries out an order that had no answer. It is lost if the worker is down.
+func (k *worker) carryOutLate(handle func(*order) (int, map[string]any), o *order, delay time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.up || o.Token < k.token {
+		return
+	}
+	k.token = o.Token
+	status, _ := handle(o)
+	k.world.note("worker %s carries out an order for attempt %d of %s, %.1f s late: %d", k.id, o.Attempt, o.Task, delay.Seconds(), status)
+}
+
 // stayQuiet waits until the caller has given up, or the worker has started again.
 func (k *worker) stayQuiet(r *http.Request, born int64) {
 	for {
@@ -279,7 +297,7 @@
 	k.endCount++
 	k.ends = append(k.ends, runEnd{k.endCount, r.task, r.attempt, how})
 	k.world.note("attempt %d of %s ends %s on worker %s", r.attempt, r.task, how, k.id)
-	k.world.ran(r.task, how)
+	k.world.ran(k, r.task, how)
 	close(k.changed)
 	k.changed = make(chan struct{})
 }
@@ -303,6 +321,9 @@
 func (k *worker) handleHold(o *order) (int, map[string]any) {
 	k.extendLease(o.DeadlineMs)
 	for len(k.ends) > 0 && k.ends[0].number <= o.LastSeen {
+		if k.ends[0].how == "done" {
+			k.world.takeNote(k.ends[0].task)
+		}
 		k.ends = k.ends[1:]
 	}
 	if len(k.ends) == 0 && o.WaitMs > 0 {
@@ -319,8 +340,12 @@
 	}
 	active, finished := [][]any{}, [][]any{}
 	for _, r := range k.runs {
+		checkpoint := ""
+		if r.step.Checkpoints {
+			checkpoint = k.world.checkpoint
+		}
 		if !r.stopping {
-			active = append(active, []any{r.task, r.attempt, "", 100, r.step.CPU})
+			active = append(active, []any{r.task, r.attempt, checkpoint, 100, r.step.CPU})
 		}
 	}
 	for _, e := range k.ends[:min(500, len(k.ends))] {
--- a/review/stand-3/world.go
+++ b/review/stand-3/world.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -41,6 +43,11 @@
 	interrupts []string            // stops of lasting tasks while max_unavailable others of their step were away
 	overlaps   []string            // upkeeps that began while the wave's cap was used up
 	waveCap    int
+	checkpoint string              // of tasks that save their progress
+	lateUntil  time.Time           // until then a share of the orders to workers has no answer and is carried out late
+	runsOf     map[string][]string // by task: the workers that run it
+	noted      map[string]bool     // tasks of which an end done was taken note of
+	doubled    []string            // tasks that were started beside another run on a worker that is up, or after an end done that was taken note of
 	keysOfTeam map[string]string
 }
 
@@ -58,6 +65,7 @@
 	MemMB          int    `json:"mem_mb,omitempty"`
 	EstimateMs     int    `json:"estimated_ms,omitempty"`
 	LongRunning    bool   `json:"long_running,omitempty"`
+	Checkpoints    bool   `json:"checkpointing,omitempty"`
 	Requires       string `json:"requirements,omitempty"`
 	MaxPerWorker   int    `json:"anti_affinity,omitempty"`
 	MaxUnavailable int    `json:"max_unavailable,omitempty"`
@@ -86,7 +94,7 @@
 	check(err)
 	w := &world{
 		dir: dir, log: newPlatformLog(), record: record, began: time.Now(), seed: os.Getpid(), jobs: map[string]jobSpec{}, ends: map[string][]string{},
-		atWork: map[string]bool{}, keysOfTeam: map[string]string{"vigil": "key-of-vigil-1f0c", "retail": "key-of-retail-7a2b"},
+		atWork: map[string]bool{}, runsOf: map[string][]string{}, noted: map[string]bool{}, keysOfTeam: map[string]string{"vigil": "key-of-vigil-1f0c", "retail": "key-of-retail-7a2b"},
 	}
 	w.cloud = newCloud(w)
 	return w
@@ -315,6 +323,14 @@
 func (w *world) started(k *worker, task string, attempt int) {
 	w.mu.Lock()
 	w.atWork[task] = true
+	others := w.runsOf[task]
+	switch {
+	case len(others) > 0:
+		w.doubled = append(w.doubled, fmt.Sprintf("%s attempt %d on %s beside a run on %s", task, attempt, k.id, others[0]))
+	case w.noted[task]:
+		w.doubled = append(w.doubled, fmt.Sprintf("%s attempt %d on %s after an end done that was taken note of", task, attempt, k.id))
+	}
+	w.runsOf[task] = append(w.runsOf[task], k.id)
 	notify := w.onStart
 	w.mu.Unlock()
 	if notify != nil {
@@ -322,11 +338,36 @@
 	}
 }
 
-func (w *world) ran(task, how string) {
+func (w *world) ran(k *worker, task, how string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.ends[task] = append(w.ends[task], how)
 	delete(w.atWork, task)
+	if i := slices.Index(w.runsOf[task], k.id); i >= 0 {
+		w.runsOf[task] = slices.Delete(w.runsOf[task], i, i+1)
+	}
+}
+
+// takeNote records that last_seen has reached an end done of the task.
+func (w *world) takeNote(task string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.noted[task] = true
+}
+
+// delayOf returns whether an order to a worker that arrives now has no answer, and how late it is carried out then.
+func (w *world) delayOf() (time.Duration, bool) {
+	const (
+		share    = 0.5
+		shortest = 2 * time.Second
+		longest  = 12 * time.Second
+	)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if time.Now().After(w.lateUntil) || rand.Float64() >= share {
+		return 0, false
+	}
+	return shortest + rand.N(longest-shortest), true
 }
 
 // stops records that a worker that is up is told to stop a task that is at work.
@@ -390,3 +431,10 @@
 }
 
 func recordPath(folder string) string { return filepath.Join(folder, "record.txt") }
+
+// doubles returns the starts beside another run of the same task.
+func (w *world) doubles() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.doubled)
+}
