--- a/review/stand-3/cases.go
+++ b/review/stand-3/cases.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -76,7 +77,7 @@
 	time.Sleep(4 * time.Second)
 	state, stopped := w.state(team, id), w.count("stopped")
 	what := fmt.Sprintf("its tenant, which has not cancelled it, sees the job as %s; %d of its tasks were stopped", state, stopped)
-	if state == cancelled || stopped > 0 {
+	if state == cancelled {
 		return verdict{exitBroken, what}
 	}
 	return verdict{exitHeld, what}
@@ -169,19 +170,20 @@
 	w.note("the traffic has ended")
 	time.Sleep(finish)
 	w.note("finish_s has passed: the job is asked for, and its tasks are watched")
-	longestIdle, answers := time.Duration(0), 0
+	longestIdle, answers, asked := time.Duration(0), 0, 0
 	began := time.Now()
 	for lastRan := began; time.Since(began) < watchFor; time.Sleep(100 * time.Millisecond) {
-		if w.running(id) > 0 {
+		if w.running(id) > 0 || w.coresInUse(poolName) >= 0.5 {
 			lastRan = time.Now()
 		}
 		longestIdle = max(longestIdle, time.Since(lastRan))
-		if status, _ := w.call(w.gates[0], team, http.MethodGet, id, nil); status == http.StatusOK {
+		asked++
+		if status, _ := w.call(w.gates[asked%len(w.gates)], team, http.MethodGet, id, nil); status == http.StatusOK {
 			answers++
 		}
 	}
-	what := fmt.Sprintf("none of the job's tasks ran for %.1f s on end after finish_s; gates were killed for their memory %d times; its state was told %d times",
-		longestIdle.Seconds(), kills(), answers)
+	what := fmt.Sprintf("none of the job's tasks ran for %.1f s on end after finish_s; gates were killed for their memory %d times; its state was told %d of %d times",
+		longestIdle.Seconds(), kills(), answers, asked)
 	if longestIdle >= idleBound || answers == 0 {
 		return verdict{exitBroken, what}
 	}
@@ -305,7 +307,10 @@
 	time.Sleep(time.Second)
 	g.start()
 	time.Sleep(watchFor)
+	// The gates that were not killed are in touch all the while.
+	w.gates = slices.DeleteFunc(w.gates, func(other *gate) bool { return other == g })
 	state, other := w.state(team, id), w.state(otherTeam, savingID)
+	w.gates = append(w.gates, g)
 	what := fmt.Sprintf("the job is %s, the one that saves its progress %s; %d tasks were stopped", state, other, w.count("stopped"))
 	if state == "gone" {
 		return verdict{exitBroken, what}
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -1,9 +1,9 @@
 // Command stand3 runs the cases of the third review that can't be put as a day of the bench. It starts gates by the command of the deploy
 // file, on loopback addresses, beside stand-ins that follow the platform's pages.
 //
-//	stand3 CASE FOLDER
+//	stand3 CASE RECORD
 //
-// It writes FOLDER/record.txt and exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+// It writes the file RECORD, record.txt of the case's folder, and exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 package main
 
 import (
@@ -43,7 +43,7 @@
 
 func main() {
 	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: stand3 CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: stand3 CASE RECORD")
 		os.Exit(exitNotRun)
 	}
 	run, known := cases[os.Args[1]]
@@ -52,7 +52,7 @@
 		os.Exit(exitNotRun)
 	}
 	hasTrouble := os.Getenv("TROUBLE") != "0"
-	w := newWorld(recordPath(os.Args[2]))
+	w := newWorld(os.Args[2])
 	w.note("case %s, disruption: %v", os.Args[1], hasTrouble)
 	ended := make(chan os.Signal, 1)
 	signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM)
--- a/review/stand-3/worker.go
+++ b/review/stand-3/worker.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -38,6 +39,8 @@
 	beatAt   time.Time // zero if its entry was removed
 	token    int64
 	leaseEnd time.Time
+	leaseNs  atomic.Int64 // leaseEnd in Unix nanoseconds, read without the lock
+	lapsedAt time.Time    // when a lease was last found to have lapsed
 	runs     map[string]*taskRun
 	refused  map[string]int // by task: attempts up to this one are refused
 	ends     []runEnd
@@ -59,6 +62,7 @@
 	task    string
 	attempt int
 	how     string
+	at      time.Time
 }
 
 func newWorker(w *world, n int, pool, machine string, cpu int) *worker {
@@ -83,7 +87,7 @@
 	defer k.mu.Unlock()
 	k.born, k.began = max(k.born+1, time.Now().UnixMilli()), time.Now()
 	k.up, k.sequence, k.token, k.endCount, k.ends = true, 0, 0, 0, nil
-	k.leaseEnd = time.Now()
+	k.setLease(time.Now())
 	k.runs, k.refused, k.changed = map[string]*taskRun{}, map[string]int{}, make(chan struct{})
 	k.beatAt = time.Time{}
 }
@@ -132,6 +136,7 @@
 		return
 	}
 	if now.After(k.leaseEnd) {
+		k.lapsedAt = now
 		for _, r := range k.runs {
 			k.end(r, "lapsed")
 		}
@@ -231,13 +236,21 @@
 	}
 }
 
+func (k *worker) setLease(end time.Time) {
+	k.leaseEnd = end
+	k.leaseNs.Store(end.UnixNano())
+}
+
+// holdsLease reports whether what runs on the worker may run now.
+func (k *worker) holdsLease() bool { return time.Now().UnixNano() < k.leaseNs.Load() }
+
 func (k *worker) extendLease(deadline *int64) {
 	if deadline == nil {
 		return
 	}
 	left := min(longest, time.Duration(*deadline-k.clock())*time.Millisecond)
 	if end := time.Now().Add(time.Duration(float64(left) / clockSpeed)); end.After(k.leaseEnd) {
-		k.leaseEnd = end
+		k.setLease(end)
 	}
 }
 
@@ -255,7 +268,7 @@
 	}
 	k.extendLease(o.DeadlineMs)
 	if o.DeadlineMs == nil {
-		k.leaseEnd = time.Now().Add(longest)
+		k.setLease(time.Now().Add(longest))
 	}
 	if o.Attempt <= k.refused[o.Task] || k.runs[o.Task] != nil {
 		return refuse("old")
@@ -295,7 +308,7 @@
 	delete(k.runs, r.task)
 	k.refused[r.task] = max(k.refused[r.task], r.attempt)
 	k.endCount++
-	k.ends = append(k.ends, runEnd{k.endCount, r.task, r.attempt, how})
+	k.ends = append(k.ends, runEnd{k.endCount, r.task, r.attempt, how, time.Now()})
 	k.world.note("attempt %d of %s ends %s on worker %s", r.attempt, r.task, how, k.id)
 	k.world.ran(k, r.task, how)
 	close(k.changed)
@@ -321,7 +334,7 @@
 func (k *worker) handleHold(o *order) (int, map[string]any) {
 	k.extendLease(o.DeadlineMs)
 	for len(k.ends) > 0 && k.ends[0].number <= o.LastSeen {
-		if k.ends[0].how == "done" {
+		if k.ends[0].how == "done" && !k.lapsedAt.After(k.ends[0].at) {
 			k.world.takeNote(k.ends[0].task)
 		}
 		k.ends = k.ends[1:]
