core/sched: due rounds begin as their tasks can start, and rounds that are over are dropped

Cause: each due round of a job began at once with all its state, whatever waited already, and no round was ever dropped. Neither the number of rounds nor their interval is bounded by what the client sends.

Later rounds are a count that demand and promises include. Nothing due is given up: it runs late.

--- a/core/sched/capacity.go
+++ b/core/sched/capacity.go
@@ -271,8 +271,9 @@
 			// With less time than this it is placed as at risk, behind other work.
 			margin = startMargin(j.spec, j.criticalPath(allSteps))
 		}
+		sc.addDelayedPromises(now, j, class, before)
 		for _, r := range j.rounds {
-			deadline, usefulUntil := j.limits(r)
+			deadline, usefulUntil := j.limits(r.number)
 			limit := deadline.Sub(now) - margin
 			if class == admit.Late {
 				limit = usefulUntil.Sub(now)
@@ -309,12 +310,12 @@
 	}
 }
 
-// limits returns when the round should be done, and until when it is of use to its client.
-func (j *job) limits(r *round) (deadline, usefulUntil time.Time) {
+// limits returns when a round should be done, and until when it is of use to its client.
+func (j *job) limits(number int) (deadline, usefulUntil time.Time) {
 	deadline, criticalPath := j.deadline()
 	received := time.UnixMilli(cmp.Or(j.spec.FirstReceivedMs, j.spec.AcceptedMs))
 	if j.spec.IsTimed() {
-		received = j.spec.RoundDue(r.number)
+		received = j.spec.RoundDue(number)
 		deadline = received.Add(criticalPath * timedRoundFactor)
 	}
 	return deadline, received.Add(maxUsefulFactor * deadline.Sub(received))
--- a/core/sched/codec.go
+++ b/core/sched/codec.go
@@ -34,6 +34,7 @@
 const (
 	tagInboxPartitionAdvanced recordTag = iota + 32
 	tagTasksDone
+	tagRoundsDone
 )
 
 var decoders = map[recordTag]func(body []byte) (Record, error){
@@ -55,6 +56,7 @@
 
 	tagInboxPartitionAdvanced: decodeAs[InboxPartitionAdvanced],
 	tagTasksDone:              decodeAs[TasksDone],
+	tagRoundsDone:             decodeAs[RoundsDone],
 }
 
 // Encode returns the binary form of the record: codec version, tag and CBOR body.
--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -74,17 +74,6 @@
 	}
 }
 
-func (sc *Scheduler) beginDueRounds(now time.Time) {
-	for j := range sc.openJobs {
-		if !j.spec.IsTimed() {
-			continue
-		}
-		for len(j.rounds) < j.spec.RoundCount() && !now.Before(j.spec.RoundDue(len(j.rounds))) {
-			sc.beginRound(j)
-		}
-	}
-}
-
 func (sc *Scheduler) resendStops(now time.Time) {
 	for _, w := range sc.workersByID {
 		if w.unanswered > 0 {
--- a/core/sched/demand.go
+++ b/core/sched/demand.go
@@ -121,6 +121,10 @@
 		late := j.isLate(now)
 		longRunning[pool] += addRemaining(work[pool].of(late), j, setup.Resources.Cores)
 		teams[team].longRunningCores += addRemaining(teams[team].of(late), j, coresWithoutGPUs)
+		if delayed := j.delayedRounds(now); delayed > 0 {
+			longRunning[pool] += addDelayed(work[pool].of(late), j, delayed, setup.Resources.Cores)
+			teams[team].longRunningCores += addDelayed(teams[team].of(late), j, delayed, coresWithoutGPUs)
+		}
 		leastWorkers[pool] = max(leastWorkers[pool], minWorkers(j))
 		starved[pool] = starved[pool] || hasStarvedLongRunning(now, j)
 	}
--- a/core/sched/held_memory_test.go
+++ b/core/sched/held_memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -42,27 +43,93 @@
 // Guards against memory that grows with the rounds that come due: one accepted job of 1,000 tasks, 5,000 times, 1 ms apart, took the owner
 // over its memory within seconds, and each later owner at its replay (review/11).
 func TestDueRoundsThatCannotStartYetTakeNoMemory(t *testing.T) {
+	const maxBytes = 4 << 20
+	scenarios := []struct {
+		testName string
+		rounds   int
+		tasks    int
+	}{
+		{"many tasks", 500, 1000},
+		{"many rounds", 100_000, 1},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			b := newTestBench(t, 1)
+			before := heapBytes()
+			b.sc.AcceptFromInbox(b.now, JobSpec{
+				ID: "5c0e7a21d94b36f8", Queue: "plans", Pool: "pots", Steps: []StepSpec{oneCoreStep(s.tasks)}, MaxAttempts: 2,
+				StartMs: b.now.UnixMilli(), IntervalMs: 1, Repetitions: s.rounds,
+			})
+			b.decideAndStore()
+			b.advance(time.Duration(s.rounds) * time.Millisecond)
+			b.answerPolls()
+			assert.Equal(t, len(b.answerStarts(AnswerOK)), 4)
+			assert.Assert(t, heapBytes()-before < maxBytes, "%d bytes at the first owner", heapBytes()-before)
+			next := b.newOwner()
+			next.decideAndStore()
+			assert.Assert(t, heapBytes()-before < 2*maxBytes, "%d bytes at both owners", heapBytes()-before)
+			runtime.KeepAlive(b)
+			runtime.KeepAlive(next)
+		})
+	}
+}
+
+// Guards against memory, and against snapshots, that grow with the rounds that are over. It also checks that a new owner runs each of the rest
+// once, whether it replays the journal or a snapshot.
+func TestRoundsThatAreOverTakeNoMemory(t *testing.T) {
 	const (
-		rounds   = 500
-		tasks    = 1000
-		maxBytes = 4 << 20
+		rounds           = 3000
+		over             = 2000
+		maxSnapshotBytes = 32 << 10
 	)
 	b := newTestBench(t, 1)
-	before := heapBytes()
-	b.sc.AcceptFromInbox(b.now, JobSpec{
-		ID: "5c0e7a21d94b36f8", Queue: "plans", Pool: "pots", Steps: []StepSpec{oneCoreStep(tasks)}, MaxAttempts: 2,
+	_, _ = b.sc.Submit(b.now, JobSpec{
+		ID: "5c0e7a21d94b36f8", Queue: "plans", Pool: "pots", Steps: []StepSpec{oneCoreStep(1)}, MaxAttempts: 2,
 		StartMs: b.now.UnixMilli(), IntervalMs: 1, Repetitions: rounds,
 	})
 	b.decideAndStore()
-	b.advance(time.Second)
+	b.advance(rounds * time.Millisecond)
 	b.answerPolls()
-	assert.Equal(t, len(b.answerStarts(AnswerOK)), 4)
-	assert.Assert(t, heapBytes()-before < maxBytes, "%d bytes at the first owner", heapBytes()-before)
-	next := b.newOwner()
-	next.decideAndStore()
-	assert.Assert(t, heapBytes()-before < 2*maxBytes, "%d bytes at both owners", heapBytes()-before)
-	runtime.KeepAlive(b)
-	runtime.KeepAlive(next)
+	runAll := func(b *testBench, most int) (ran int) {
+		for ran < most {
+			starts := b.answerStarts(AnswerOK)
+			if len(starts) == 0 {
+				break
+			}
+			for _, o := range starts {
+				b.endAttempt(o, AttemptDone)
+			}
+			ran += len(starts)
+			b.advance(minFullPassInterval)
+		}
+		return ran
+	}
+	done := runAll(b, over)
+	b.answerStarts(AnswerOK)
+	assert.Assert(t, len(b.sc.jobs["5c0e7a21d94b36f8"].rounds) < rounds-over)
+	snapshot, size := b.sc.Snapshot(), 0
+	for _, r := range snapshot {
+		raw, err := Encode(r)
+		assert.NilError(t, err)
+		size += len(raw)
+	}
+	assert.Assert(t, size < maxSnapshotBytes, "a snapshot of %d bytes", size)
+	for _, records := range [][]Record{b.records, snapshot} {
+		b.records = records
+		next := b.newOwner()
+		running := 0
+		for _, r := range next.sc.workers["w1"].runList {
+			next.sc.confirmStart(next.now, r)
+			running++
+		}
+		next.answerPolls()
+		for _, r := range slices.Clone(next.sc.workers["w1"].runList) {
+			next.endAttempt(StartTask{Worker: "w1", Task: r.task.id(), Attempt: r.number}, AttemptDone)
+		}
+		next.advance(minFullPassInterval)
+		assert.Equal(t, done+running+runAll(next, rounds), rounds)
+		assert.Equal(t, next.state("5c0e7a21d94b36f8"), "completed")
+	}
 }
 
 // Guards against a run that a new owner doesn't know: the other runs of a gang whose end has come are still on their workers when a
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -14,9 +14,10 @@
 	started     bool     // a worker has started a task
 	storedState JobState // what clients see
 	stored      bool     // the acceptance is on the journal
-	rounds      []*round
-	openRounds  int // rounds of the spec that are not done
-	runCount    int // attempts on workers
+	rounds      []*round // open rounds: those that have begun and are not over, in order of their numbers
+	begunRounds int      // rounds begin in order of their numbers
+	openRounds  int      // rounds of the spec that are not done
+	runCount    int      // attempts on workers
 }
 
 func newJob(spec *JobSpec) *job {
@@ -26,6 +27,9 @@
 // isOpen reports whether tasks of the job may still be started.
 func (j *job) isOpen() bool { return !j.cancelled && j.finalState == StateQueued }
 
+// isSettled reports whether the job has ended and no attempt of it is left.
+func (j *job) isSettled() bool { return !j.isOpen() && j.runCount == 0 }
+
 // state returns the state that clients may see once all records so far are stored.
 func (j *job) state() JobState {
 	switch {
@@ -40,17 +44,6 @@
 	}
 }
 
-// addRound appends the next round with all its tasks; its steps are not marked as ready yet.
-func (j *job) addRound() *round {
-	r := &round{job: j, number: len(j.rounds)}
-	for n := range j.spec.Steps {
-		r.steps = append(r.steps, newStep(r, n))
-	}
-	r.openSteps = len(r.steps)
-	j.rounds = append(j.rounds, r)
-	return r
-}
-
 // taskByID returns the task and creates missing rounds up to its own, or returns nil if the job has no such task or the task is over.
 func (j *job) taskByID(id TaskID) *task {
 	s := j.ensureStep(id)
@@ -60,12 +53,12 @@
 	return s.task(id.Index)
 }
 
-// ensureStep returns the task's step and creates missing rounds up to its own, or returns nil if the job has no such task.
+// ensureStep returns the task's step and creates missing rounds up to its own, or returns nil if the job has no such task or its round is over.
 func (j *job) ensureStep(id TaskID) *step {
 	if !j.spec.hasTask(id) {
 		return nil
 	}
-	for len(j.rounds) <= id.Round {
+	for j.begunRounds <= id.Round {
 		j.addRound()
 	}
 	return j.step(id)
@@ -80,12 +73,13 @@
 	return s.task(id.Index)
 }
 
-// step returns the step of the task, nil if the job has no such task or its round has not begun.
+// step returns the step of the task, nil if the job has no such task or its round is not open.
 func (j *job) step(id TaskID) *step {
-	if !j.spec.hasTask(id) || id.Round >= len(j.rounds) {
+	index, found := j.findRound(id.Round)
+	if !found || !j.spec.hasTask(id) {
 		return nil
 	}
-	return j.rounds[id.Round].steps[id.Step]
+	return j.rounds[index].steps[id.Step]
 }
 
 // deadline returns when the job should be done, and the estimated time of its critical path.
@@ -99,7 +93,7 @@
 	return time.UnixMilli(received).Add(slack).Add(time.Duration(j.spec.TargetMs) * time.Millisecond), criticalPath
 }
 
-// tasks yields the tasks of all rounds that have begun, but for those that are over and those that have not been needed yet.
+// tasks yields the tasks of all open rounds, but for those that are over and those that have not been needed yet.
 func (j *job) tasks() iter.Seq[*task] {
 	return func(yield func(*task) bool) {
 		for _, r := range j.rounds {
@@ -131,14 +125,6 @@
 	return longest
 }
 
-// round is one repetition of a job.
-type round struct {
-	job       *job
-	number    int
-	steps     []*step
-	openSteps int
-}
-
 // step is a group of like tasks within a round.
 type step struct {
 	round          *round
--- a/core/sched/lifecycle.go
+++ b/core/sched/lifecycle.go
@@ -43,10 +43,12 @@
 }
 
 // beginRound adds the job's next round and queues the steps without dependencies.
-func (sc *Scheduler) beginRound(j *job) {
-	for _, s := range j.addRound().steps {
+func (sc *Scheduler) beginRound(j *job) *round {
+	r := j.addRound()
+	for _, s := range r.steps {
 		sc.updateReadiness(s, time.Time{})
 	}
+	return r
 }
 
 // updateReadiness marks the step as ready if its dependencies are done, and queues it if it has waiting tasks.
@@ -122,6 +124,7 @@
 	t.attempts = max(t.attempts, attempt)
 	t.runs = append(t.runs, r)
 	s.runCount++
+	s.round.runCount++
 	t.job().runCount++
 	if s.runsByWorker == nil {
 		s.runsByWorker = map[string]int{}
@@ -172,6 +175,7 @@
 		sc.countCrash(t, ended.Outcome, now)
 	}
 	t.step.dropIfOver(t)
+	j.dropRoundIfOver(t.step.round)
 	sc.updateWaiting(t.step)
 	sc.markPoolDirty(sc.currentPool(j))
 }
@@ -212,6 +216,7 @@
 		}
 	}
 	s.runCount--
+	s.round.runCount--
 	t.job().runCount--
 	if s.runsByWorker[r.worker.id]--; s.runsByWorker[r.worker.id] <= 0 {
 		delete(s.runsByWorker, r.worker.id)
@@ -230,7 +235,7 @@
 func (sc *Scheduler) completeTask(t *task, now time.Time) {
 	s := t.step
 	if s.spec.Gang {
-		s.markAllDone(taskRange{Count: s.spec.Count})
+		s.markAllDone(indexRange{Count: s.spec.Count})
 	} else {
 		s.markDone(t)
 	}
--- a/core/sched/queueing.go
+++ b/core/sched/queueing.go
@@ -120,7 +120,7 @@
 
 // isOfNoUse reports whether the round can no longer be done while it is of use.
 func (r *round) isOfNoUse(now time.Time) bool {
-	_, usefulUntil := r.job.limits(r)
+	_, usefulUntil := r.job.limits(r.number)
 	return now.After(usefulUntil)
 }
 
--- a/core/sched/record.go
+++ b/core/sched/record.go
@@ -1,8 +1,8 @@
 package sched
 
 // Record is an entry of the journal: JobAccepted, JobCancelled, TaskStarted, TaskEnded, InboxAdvanced, InboxPartitionAdvanced, WaveSeen,
-// MaintenanceOrdered, MaintenanceDone, SurgeSeen, EvacuationChanged, SnapshotStarted, JobSnapshot, TasksSnapshot, TasksDone, TaskCrashes or
-// SnapshotEnded. Records are stored as CBOR arrays, so the order and the types of their fields must not change.
+// MaintenanceOrdered, MaintenanceDone, SurgeSeen, EvacuationChanged, SnapshotStarted, JobSnapshot, TasksSnapshot, TasksDone,
+// RoundsDone, TaskCrashes or SnapshotEnded. Records are stored as CBOR arrays, so the order and the types of their fields must not change.
 type Record interface {
 	tag() recordTag
 }
@@ -142,7 +142,15 @@
 	Job    string
 	Round  int
 	Step   int
-	Ranges []taskRange
+	Ranges []indexRange
+}
+
+// RoundsDone is the part of a snapshot that holds which rounds of a job are done and have no attempt any more. It follows the job's
+// JobSnapshot and precedes its tasks.
+type RoundsDone struct {
+	_      struct{} `cbor:",toarray"`
+	Job    string
+	Ranges []indexRange
 }
 
 // TaskCrashes is the part of a snapshot that holds how many workers have crashed under a task of a job whose JobSnapshot precedes it.
@@ -174,6 +182,7 @@
 func (JobSnapshot) tag() recordTag        { return tagJobSnapshot }
 func (TasksSnapshot) tag() recordTag      { return tagTasksSnapshot }
 func (TasksDone) tag() recordTag          { return tagTasksDone }
+func (RoundsDone) tag() recordTag         { return tagRoundsDone }
 func (TaskCrashes) tag() recordTag        { return tagTaskCrashes }
 func (EvacuationChanged) tag() recordTag  { return tagEvacuationChanged }
 func (SnapshotEnded) tag() recordTag      { return tagSnapshotEnded }
--- a/core/sched/replay.go
+++ b/core/sched/replay.go
@@ -44,6 +44,12 @@
 		}
 		sc.snapshot.add(r)
 		return nil
+	case RoundsDone:
+		if !sc.snapshot.started {
+			return eris.Errorf("rounds of job %s are saved as done outside of a snapshot", r.Job)
+		}
+		sc.snapshot.add(r)
+		return nil
 	case TaskCrashes:
 		if !sc.snapshot.started {
 			return eris.Errorf("crashes under task %s are saved outside of a snapshot", r.Task)
@@ -105,6 +111,8 @@
 		return sc.restoreTasks(r)
 	case TasksDone:
 		return sc.restoreDone(r)
+	case RoundsDone:
+		return sc.restoreRounds(r)
 	case TaskCrashes:
 		sc.restoreCrashes(r)
 	case WaveSeen:
--- a/core/sched/snapshot.go
+++ b/core/sched/snapshot.go
@@ -15,10 +15,6 @@
 	maxRunBytes  = 30
 	// The same for one number.
 	maxNumberBytes = 9
-	// A step with more tasks that are over saves them as ranges, one with fewer one by one, so that gates of earlier versions read them.
-	maxListedDone = 256
-	// Ranges in a record; each takes two numbers.
-	maxRangesPerRecord = 1000
 )
 
 // Snapshot returns the records that restore the current state when they are replayed: jobs, early cancellations, waves, evacuations
@@ -30,8 +26,7 @@
 		records = append(records, InboxPartitionAdvanced{Partition: partition, Offset: offset})
 	}
 	for _, id := range slices.Sorted(maps.Keys(sc.jobs)) {
-		records = append(records, snapshotJob(sc.jobs[id]).split(sc.options.maxTasksBytes())...)
-		records = append(records, snapshotDone(sc.jobs[id])...)
+		records = append(records, snapshotRecords(sc.jobs[id], sc.options.maxTasksBytes())...)
 		records = append(records, snapshotCrashes(sc.jobs[id])...)
 	}
 	for id := range sc.earlyCancels {
@@ -58,73 +53,19 @@
 	if !j.endedAt.IsZero() {
 		saved.EndedMs = j.endedAt.UnixMilli()
 	}
-	if !j.isOpen() && j.runCount == 0 {
+	if j.isSettled() {
 		// Only the state of an ended job can still be queried; payload and steps would bloat the snapshot.
 		saved.Job.Payload, saved.Job.Steps = "", nil
 		return saved
 	}
 	for _, r := range j.rounds {
 		for _, s := range r.steps {
-			saved.Tasks = s.appendSnapshots(saved.Tasks)
+			saved.Tasks = append(saved.Tasks, s.snapshotTasks()...)
 		}
 	}
 	return saved
 }
 
-// appendSnapshots appends the step's tasks that were attempted or are done, but for those that a TasksDone record holds.
-func (s *step) appendSnapshots(saved []taskSnapshot) []taskSnapshot {
-	for _, tasks := range s.listedDone() {
-		for i := range tasks.Count {
-			id := s.id()
-			id.Index = tasks.First + i
-			saved = append(saved, taskSnapshot{Task: id, Done: true})
-		}
-	}
-	for t := range s.tasks() {
-		if t.done || t.attempts > 0 {
-			saved = append(saved, snapshotTask(t))
-		}
-	}
-	return saved
-}
-
-// listedDone returns the tasks that are over, nothing if there are so many that they are saved as ranges.
-func (s *step) listedDone() []taskRange {
-	ranges := s.window.doneRanges()
-	if countTasks(ranges) > maxListedDone {
-		return nil
-	}
-	return ranges
-}
-
-// snapshotDone returns records of the job's tasks that are over, for the steps that have many.
-func snapshotDone(j *job) []Record {
-	if !j.isOpen() && j.runCount == 0 {
-		return nil
-	}
-	var records []Record
-	for _, r := range j.rounds {
-		for _, s := range r.steps {
-			ranges := s.window.doneRanges()
-			if countTasks(ranges) <= maxListedDone {
-				continue
-			}
-			for part := range slices.Chunk(ranges, maxRangesPerRecord) {
-				records = append(records, TasksDone{Job: j.spec.ID, Round: r.number, Step: s.number, Ranges: part})
-			}
-		}
-	}
-	return records
-}
-
-func countTasks(ranges []taskRange) int {
-	n := 0
-	for _, r := range ranges {
-		n += r.Count
-	}
-	return n
-}
-
 func snapshotTask(t *task) taskSnapshot {
 	saved := taskSnapshot{Task: t.id(), Done: t.done, Attempts: t.attempts, Failures: t.failures, Checkpoint: t.checkpoint}
 	for _, r := range t.runs {
@@ -159,14 +100,19 @@
 	}
 	tasks := r.Tasks
 	r.Tasks = nil
-	records := []Record{r}
+	return append([]Record{r}, splitTasks(r.Job.ID, tasks, maxBytes)...)
+}
+
+// splitTasks returns records of at most maxBytes with the tasks.
+func splitTasks(job string, tasks []taskSnapshot, maxBytes int) []Record {
+	var records []Record
 	for len(tasks) > 0 {
 		n, size := 1, tasks[0].maxEncodedBytes()
 		for n < len(tasks) && size+tasks[n].maxEncodedBytes() <= maxBytes {
 			size += tasks[n].maxEncodedBytes()
 			n++
 		}
-		records = append(records, TasksSnapshot{Job: r.Job.ID, Tasks: tasks[:n]})
+		records = append(records, TasksSnapshot{Job: job, Tasks: tasks[:n]})
 		tasks = tasks[n:]
 	}
 	return records
@@ -242,23 +188,6 @@
 	if saved.Done && !t.done {
 		t.step.markDone(t)
 		sc.updateAfterDone(t.step, time.Time{})
+		j.dropRoundIfOver(t.step.round)
 	}
 }
-
-// restoreDone fails if the job of the tasks is unknown.
-func (sc *Scheduler) restoreDone(r TasksDone) error {
-	j, known := sc.jobs[r.Job]
-	if !known {
-		return eris.Errorf("tasks of the unknown job %s are done", r.Job)
-	}
-	s := j.ensureStep(TaskID{Job: r.Job, Round: r.Round, Step: r.Step})
-	if s == nil || s.isDone() {
-		return nil
-	}
-	for _, tasks := range r.Ranges {
-		s.markAllDone(tasks)
-	}
-	sc.updateAfterDone(s, time.Time{})
-	sc.updateJobReadiness(j, time.Time{})
-	return nil
-}
--- a/core/sched/spec.go
+++ b/core/sched/spec.go
@@ -79,6 +79,12 @@
 	return tasks, coreSeconds
 }
 
+// taskCount returns the number of tasks in a round of the job.
+func (s *JobSpec) taskCount() int {
+	tasks, _ := s.Work()
+	return tasks
+}
+
 // nearWork returns the core-seconds of a round of the job that can be done within planningHorizon of its start.
 func (s *JobSpec) nearWork() float64 {
 	var l workload
--- a/core/sched/task_window.go
+++ b/core/sched/task_window.go
@@ -61,7 +61,7 @@
 }
 
 // markAllDone marks the tasks of the range as done.
-func (s *step) markAllDone(r taskRange) {
+func (s *step) markAllDone(r indexRange) {
 	for i := max(0, r.First); i < min(r.First+r.Count, s.spec.Count); i++ {
 		if t := s.task(i); t != nil && !t.done {
 			s.markDone(t)
@@ -79,18 +79,11 @@
 	s.dropIfOver(t)
 }
 
-// taskRange is Count tasks of a step from the index First on.
-type taskRange struct {
-	_     struct{} `cbor:",toarray"`
-	First int
-	Count int
-}
-
 // doneRanges returns the ranges of tasks that are over, in order.
-func (w *taskWindow) doneRanges() []taskRange {
-	var ranges []taskRange
+func (w *taskWindow) doneRanges() []indexRange {
+	var ranges []indexRange
 	if w.first > 0 {
-		ranges = append(ranges, taskRange{First: 0, Count: w.first})
+		ranges = append(ranges, indexRange{First: 0, Count: w.first})
 	}
 	for i, t := range w.tasks {
 		index := w.first + i
@@ -99,7 +92,7 @@
 		case last >= 0 && ranges[last].First+ranges[last].Count == index:
 			ranges[last].Count++
 		default:
-			ranges = append(ranges, taskRange{First: index, Count: 1})
+			ranges = append(ranges, indexRange{First: index, Count: 1})
 		}
 	}
 	return ranges
--- a/core/sched/walk_harness_test.go
+++ b/core/sched/walk_harness_test.go
@@ -49,6 +49,7 @@
 	requests        *simRequests // nil if there are no evacuations
 	lists           *simLists    // nil if all workers stay listed and there is no list of machines
 	polls           *simPolls    // nil if workers answer polls at once
+	rounds          *simRounds   // nil if no jobs are timed
 }
 
 // simWorker is one life of a worker. All lives of a worker share its id.
--- a/core/sched/walk_test.go
+++ b/core/sched/walk_test.go
@@ -28,6 +28,7 @@
 	copiesAllowed := spec.Steps[o.Task.Step].Speculative
 	w.checkDuplicate(s, o, sentAt, copiesAllowed)
 	w.requests.checkStart(w, s, o)
+	w.rounds.checkStart(w, o)
 	if w.shownStates[o.Task.Job] == StateCompleted && !copiesAllowed && !w.isExcusedAsLate(o, sentAt) {
 		w.reportTaskViolation(o.Task, "task %s of a completed job is started", o.Task)
 	}
@@ -144,6 +145,7 @@
 		}
 		if state == StateCompleted && lastShown != StateCompleted {
 			w.completedAt[id] = w.now
+			w.rounds.checkCompleted(w, id)
 		}
 		w.shownStates[id] = state
 	}
@@ -175,6 +177,7 @@
 		}
 		spec.Steps = append(spec.Steps, s)
 	}
+	w.rounds.addTo(w.now, &spec)
 	w.specs[id] = spec
 	if result, _ := w.scheduler.Submit(w.now, spec); result != Accepted {
 		return
