core/sched: ended jobs keep neither payload nor tasks in memory

What the owner holds grew with everything that had been accepted in that time.

Its steps go when no late call can start its tasks any more (12 s): until then they tell how much room such a task takes on its worker.

Evidence: TestEndedJobsKeepNeitherPayloadNorTasks failed before with 4,620 bytes for an ended job of 12 tasks and 4,000 bytes of payload; it allows 2,048.

--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -54,6 +54,7 @@
 	}
 	if fullPass {
 		sc.pollWorkers(now)
+		sc.releaseEndedJobs(now)
 		sc.forgetEndedJobs(now)
 	}
 }
--- a/core/sched/held_memory_test.go
+++ b/core/sched/held_memory_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"runtime"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -153,3 +154,30 @@
 	assert.Equal(t, restored.waitingTasks, 0)
 	assert.Assert(t, next.jobs["a"].rounds[0].steps[1].ready)
 }
+
+// Guards against memory that grows with the jobs that have ended: their states are kept for minutes, but nothing starts their tasks any more.
+func TestEndedJobsKeepNeitherPayloadNorTasks(t *testing.T) {
+	const (
+		jobs     = 2000
+		maxBytes = jobs * 2048
+	)
+	b := newTestBench(t, 3)
+	before := heapBytes()
+	for n := range jobs {
+		id := fmt.Sprintf("%016x", n)
+		b.sc.AcceptFromInbox(b.now, JobSpec{ID: id, Queue: "plans", Pool: "pots", Payload: strings.Repeat("p", 4000), Steps: []StepSpec{oneCoreStep(12)}})
+		b.advance(minFullPassInterval)
+		starts := b.answerStarts(AnswerOK)
+		assert.Equal(t, len(starts), 12)
+		for _, o := range starts {
+			b.endAttempt(o, AttemptDone)
+		}
+		assert.Equal(t, b.state(id), "completed")
+		b.answerPolls()
+		b.records, b.orders = nil, nil
+		b.sc.Decisions()
+	}
+	b.advance(maxCallDelay)
+	assert.Assert(t, heapBytes()-before < maxBytes, "%d bytes for a job", (heapBytes()-before)/jobs)
+	runtime.KeepAlive(b)
+}
--- a/core/sched/intake.go
+++ b/core/sched/intake.go
@@ -108,26 +108,3 @@
 	sc.appendRecord(InboxPartitionAdvanced{Partition: partition, Offset: offset})
 	sc.inboxOffsets[partition] = offset
 }
-
-// KeepEndedSince keeps jobs that ended after the given time, whatever the retention. A partition of the inbox that has not been read since may
-// hold a second copy of such a job, which would run again if the job were forgotten.
-func (sc *Scheduler) KeepEndedSince(t time.Time) { sc.keepEndedSince = t }
-
-func (sc *Scheduler) markEnded(j *job, now time.Time) {
-	j.endedAt = now
-	sc.endedJobs = append(sc.endedJobs, j)
-}
-
-// forgetEndedJobs removes ended jobs after the retention time.
-func (sc *Scheduler) forgetEndedJobs(now time.Time) {
-	for len(sc.endedJobs) > 0 {
-		j := sc.endedJobs[0]
-		if now.Sub(j.endedAt) < sc.options.Retention || j.runCount > 0 || !sc.keepEndedSince.IsZero() && j.endedAt.After(sc.keepEndedSince) {
-			return
-		}
-		sc.endedJobs = sc.endedJobs[1:]
-		if sc.jobs[j.spec.ID] == j {
-			delete(sc.jobs, j.spec.ID)
-		}
-	}
-}
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -11,13 +11,14 @@
 	cancelled   bool
 	finalState  JobState // StateQueued while the job is open
 	endedAt     time.Time
-	started     bool     // a worker has started a task
-	storedState JobState // what clients see
-	stored      bool     // the acceptance is on the journal
-	rounds      []*round // open rounds: those that have begun and are not over, in order of their numbers
-	begunRounds int      // rounds begin in order of their numbers
-	openRounds  int      // rounds of the spec that are not done
-	runCount    int      // attempts on workers
+	settledAt   time.Time // when it was released, see releaseEndedJobs
+	started     bool      // a worker has started a task
+	storedState JobState  // what clients see
+	stored      bool      // the acceptance is on the journal
+	rounds      []*round  // open rounds: those that have begun and are not over, in order of their numbers
+	begunRounds int       // rounds begin in order of their numbers
+	openRounds  int       // rounds of the spec that are not done
+	runCount    int       // attempts on workers
 }
 
 func newJob(spec *JobSpec) *job {
--- a/core/sched/lifecycle.go
+++ b/core/sched/lifecycle.go
@@ -263,15 +263,17 @@
 
 // endJob sets the job's final state and removes its steps from the queue.
 func (sc *Scheduler) endJob(j *job, outcome JobState, now time.Time) {
-	j.finalState, j.endedAt = outcome, now
+	j.finalState = outcome
 	delete(sc.openJobs, j)
 	for _, r := range j.rounds {
 		for _, s := range r.steps {
 			sc.updateWaiting(s)
 		}
 	}
-	if !sc.ownedSince.IsZero() {
-		sc.endedJobs = append(sc.endedJobs, j)
+	if sc.ownedSince.IsZero() {
+		j.endedAt = now
+	} else {
+		sc.markEnded(j, now)
 	}
 	sc.markChanged(j)
 }
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -51,6 +51,8 @@
 	// Indexes and timers.
 	openJobs          map[*job]bool // jobs whose tasks may still be started
 	endedJobs         []*job        // in the order in which they ended, cancelled ones included
+	settlingJobs      []*job        // ended jobs that may have attempts left
+	settledJobs       []*job        // ended jobs without attempts that still have their steps, in the order in which they were released
 	keepEndedSince    time.Time     // jobs that ended after it are not forgotten, zero for no such bound
 	lastMachinePlan   time.Time     // when machines were last planned
 	lastPeriodicCheck time.Time     // when the periodic checks last ran
@@ -140,8 +142,7 @@
 	for _, j := range sc.jobs {
 		j.stored, j.storedState = true, j.state()
 		if j.finalState.IsFinal() || j.cancelled {
-			j.endedAt = now
-			sc.endedJobs = append(sc.endedJobs, j)
+			sc.markEnded(j, now)
 			continue
 		}
 		sc.updateJobReadiness(j, now)
