gate/intake: a schedule whose rounds come due faster than they could ever start is refused

Cause: the intake counts the tasks that are due when the job is handed in, which is one round here. The rounds that come due in the next seconds weren't counted.

Change: TasksDue counts the rounds that are due within ten seconds after now, or after the job's start if that is later. Rounds a second apart, that overlap or that are overdue after an outage are accepted.

--- a/core/sched/spec.go
+++ b/core/sched/spec.go
@@ -43,13 +43,16 @@
 	return time.UnixMilli(s.StartMs + int64(n)*s.IntervalMs)
 }
 
-// TasksDue returns how many tasks the job has in the rounds that may begin at now.
+// dueWindow is the time within which rounds count as due together.
+const dueWindow = 10 * time.Second
+
+// TasksDue returns how many tasks the job has in the rounds that are due within dueWindow after now, or after its start if that is later.
 func (s *JobSpec) TasksDue(now time.Time) float64 {
 	tasks, _ := s.Work()
 	rounds := float64(s.RoundCount())
 	if s.IntervalMs > 0 {
-		elapsed := float64(now.UnixMilli()-s.StartMs) / float64(s.IntervalMs)
-		rounds = min(rounds, max(0, elapsed)+1)
+		elapsed := float64(max(0, now.UnixMilli()-s.StartMs) + dueWindow.Milliseconds())
+		rounds = min(rounds, elapsed/float64(s.IntervalMs)+1)
 	}
 	return float64(tasks) * rounds
 }
--- a/gate/intake/inbox_test.go
+++ b/gate/intake/inbox_test.go
@@ -69,7 +69,7 @@
 	assert.Equal(t, reply.Code(), codes.JobTooLarge)
 }
 
-// Guards against an accepted job whose tasks take all of the owner's memory, and of each owner after it.
+// Guards against an accepted job that can't be done nearly when it is due: so many tasks are due at once, or rounds follow each other so fast (review/11).
 func TestJobWithTooManyTasksDueIsRefused(t *testing.T) {
 	now := time.Now().UnixMilli()
 	step := sched.StepSpec{Count: 20, CPU: 1000}
@@ -83,6 +83,10 @@
 		{"millions", sched.JobSpec{Steps: []sched.StepSpec{{Count: 1 << 40}}}, true},
 		{"many rounds, one after the other", sched.JobSpec{Steps: []sched.StepSpec{step}, Repetitions: 1 << 30, StartMs: now, IntervalMs: 2000}, false},
 		{"many rounds at once", sched.JobSpec{Steps: []sched.StepSpec{step}, Repetitions: 1 << 30, StartMs: now}, true},
+		{"rounds that come due far faster than any owner starts tasks (review/11)", sched.JobSpec{Steps: []sched.StepSpec{{Count: 1000}}, Repetitions: 5000, StartMs: now + 1000, IntervalMs: 1}, true},
+		{"rounds a second apart", sched.JobSpec{Steps: []sched.StepSpec{{Count: 1000}}, Repetitions: 1 << 30, StartMs: now + 1000, IntervalMs: 1000}, false},
+		{"rounds that overlap", sched.JobSpec{Steps: []sched.StepSpec{{Count: 100, EstimateMs: 60_000}}, Repetitions: 1 << 30, StartMs: now, IntervalMs: 100}, false},
+		{"rounds that are overdue after an outage", sched.JobSpec{Steps: []sched.StepSpec{{Count: 100}}, Repetitions: 1000, StartMs: now - 900_000, IntervalMs: 1000}, false},
 		{"many rounds since 1970", sched.JobSpec{Steps: []sched.StepSpec{step}, Repetitions: 1 << 40, IntervalMs: 1}, true},
 	}
 	for _, s := range scenarios {
--- a/gate/intake/service.go
+++ b/gate/intake/service.go
@@ -38,7 +38,7 @@
 	jobIDLength    = 16
 	// Callers may send any text in the place of an id.
 	maxLoggedID = 40
-	// Tasks of one job that may be due at once; each takes some 150 bytes of the owner's memory.
+	// Tasks of one job that may be due together, see JobSpec.TasksDue. More could only wait.
 	maxTasksDue       = 100_000
 	defaultRetryAfter = time.Second
 	// Callers should retry after this time while neither the owner nor the log can be reached.
