core/sched: jobs that would take too much of the owner's memory together are refused

Jobs that are timed, long-running, for a pool without workers, or without work are never refused for lack of capacity, and each takes memory for its payload and steps until it ends. Enough of them, each of ordinary size, end the owner, and each later one at its replay.

Change: the owner sums up the estimated memory of all jobs, by team (job_memory.go). A job is refused with 429 and a Retry-After if its team's jobs would take more than is left for all teams then, so that one team takes about half and there is always some left for another one. Beyond it, due rounds begin one by one, and gates are told to store little in the inbox. Jobs that are stored already are never dropped. The owner logs jobs-bytes and the cause memory-used, and shows mangowing_jobs_bytes.

--- a/core/sched/ended_jobs.go
+++ b/core/sched/ended_jobs.go
@@ -38,9 +38,13 @@
 	spec := *j.spec
 	spec.Payload = ""
 	j.spec = &spec
+	j.memory.add(spec.memory() - j.memory.bytes)
 }
 
-func (j *job) dropSteps() { j.spec.Steps = nil }
+func (j *job) dropSteps() {
+	j.spec.Steps = nil
+	j.memory.add(j.spec.memory() - j.memory.bytes)
+}
 
 // forgetEndedJobs removes ended jobs after the retention time.
 func (sc *Scheduler) forgetEndedJobs(now time.Time) {
@@ -52,6 +56,7 @@
 		sc.endedJobs = sc.endedJobs[1:]
 		if sc.jobs[j.spec.ID] == j {
 			delete(sc.jobs, j.spec.ID)
+			j.memory.add(-j.memory.bytes)
 		}
 	}
 }
--- a/core/sched/intake.go
+++ b/core/sched/intake.go
@@ -32,6 +32,9 @@
 	if r, refused := sc.refuseEvacuated(&spec); refused {
 		return Overloaded, r
 	}
+	if r, refused := sc.checkMemory(&spec); refused {
+		return Overloaded, r
+	}
 	spec.OverShare = !sc.isRetryOfRefused(spec.ID) && sc.exceedsShare(now, &spec)
 	if r, refused := sc.checkAdmission(now, &spec); refused {
 		return Overloaded, r
--- a/core/sched/job.go
+++ b/core/sched/job.go
@@ -19,10 +19,14 @@
 	begunRounds int       // rounds begin in order of their numbers
 	openRounds  int       // rounds of the spec that are not done
 	runCount    int       // attempts on workers
+	memory      memoryMeter
 }
 
-func newJob(spec *JobSpec) *job {
-	return &job{spec: spec, openRounds: spec.RoundCount()}
+// newJob returns a job whose memory counts as a part of the given meter's.
+func newJob(spec *JobSpec, total *memoryMeter) *job {
+	j := &job{spec: spec, openRounds: spec.RoundCount(), memory: memoryMeter{total: total}}
+	j.memory.add(spec.memory())
+	return j
 }
 
 // isOpen reports whether tasks of the job may still be started.
--- /dev/null
+++ b/core/sched/job_memory.go
@@ -0,0 +1,65 @@
+package sched
+
+import "time"
+
+// Estimates of the memory that the state of jobs takes, in bytes and leaving aside texts.
+const (
+	jobBytes      = 512
+	stepSpecBytes = 256
+	indexBytes    = 8
+	roundBytes    = 128
+	stepBytes     = 320 // its entry among the waiting steps of its pool included
+	taskBytes     = 216
+	runBytes      = 448 // its entries at its worker included
+)
+
+// Clients that are refused for lack of memory should come back after this time, in which other jobs end.
+const memoryRetryAfter = 5 * time.Second
+
+// memoryMeter sums up the estimated memory of jobs. The zero value counts for itself alone.
+type memoryMeter struct {
+	bytes int
+	total *memoryMeter // counts the same bytes as a part of its own, nil for none
+}
+
+func (m *memoryMeter) add(bytes int) {
+	m.bytes += bytes
+	if m.total != nil {
+		m.total.add(bytes)
+	}
+}
+
+// memory estimates the memory of a job that has not begun.
+func (s *JobSpec) memory() int {
+	bytes := jobBytes + len(s.ID) + len(s.Queue) + len(s.Pool) + len(s.Team) + len(s.Payload)
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		bytes += stepSpecBytes + indexBytes*len(step.DependsOn) + len(step.Label) + len(step.DataRack) + len(step.Image)
+	}
+	return bytes
+}
+
+// roundMemory estimates the memory of an open round without its tasks.
+func (s *JobSpec) roundMemory() int { return roundBytes + len(s.Steps)*stepBytes }
+
+// JobMemory returns the estimated memory of all jobs in bytes.
+func (sc *Scheduler) JobMemory() int { return sc.jobMemory.bytes }
+
+// lacksMemory reports whether the jobs take as much memory as they may.
+func (sc *Scheduler) lacksMemory() bool {
+	return sc.options.MaxJobMemory > 0 && sc.jobMemory.bytes >= sc.options.MaxJobMemory
+}
+
+// checkMemory refuses a job if its team's jobs would take more memory than is left for all teams then. So one team takes about half of the
+// memory at most, and there is always some left for a team that has taken little.
+func (sc *Scheduler) checkMemory(spec *JobSpec) (Refusal, bool) {
+	if sc.options.MaxJobMemory <= 0 {
+		return Refusal{}, false
+	}
+	needed := spec.memory() + spec.roundMemory()
+	left := sc.options.MaxJobMemory - sc.jobMemory.bytes - needed
+	if sc.ensureTeam(spec.Team).memory.bytes+needed <= left {
+		return Refusal{}, false
+	}
+	return Refusal{retryAfter: memoryRetryAfter + retryJitter(spec.ID), cause: memoryUsedUp}, true
+}
--- a/core/sched/lifecycle.go
+++ b/core/sched/lifecycle.go
@@ -17,6 +17,7 @@
 	sc.evacuations = evacuations{}
 	clear(sc.workers)
 	clear(sc.teams)
+	sc.jobMemory = memoryMeter{}
 	clear(sc.pools)
 	sc.workersByID, sc.poolOrder = nil, nil
 }
@@ -26,7 +27,7 @@
 		return j
 	}
 	spec := r.Job
-	j := newJob(&spec)
+	j := newJob(&spec, &sc.ensureTeam(spec.Team).memory)
 	sc.jobs[spec.ID] = j
 	if sc.earlyCancels[spec.ID] {
 		delete(sc.earlyCancels, spec.ID)
@@ -123,6 +124,7 @@
 	r := &run{task: t, number: attempt, worker: w, requestedSpeed: fullSpeed, reportedLoad: -1}
 	t.attempts = max(t.attempts, attempt)
 	t.runs = append(t.runs, r)
+	t.job().memory.add(runBytes)
 	s.runCount++
 	s.round.runCount++
 	t.job().runCount++
@@ -215,6 +217,7 @@
 			break
 		}
 	}
+	t.job().memory.add(-runBytes)
 	s.runCount--
 	s.round.runCount--
 	t.job().runCount--
--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -21,6 +21,8 @@
 	// RemoteFactor is how many times as long tasks run on another rack than that of their data or their group. Tasks wait for
 	// their rack only if it exceeds 1.
 	RemoteFactor float64
+	// MaxJobMemory is how many bytes the state of all jobs should take; 0 for no bound. Jobs beyond it are refused.
+	MaxJobMemory int
 	// MaxRecordBytes is the largest record that the journal stores.
 	MaxRecordBytes int
 }
--- a/core/sched/pool_promise.go
+++ b/core/sched/pool_promise.go
@@ -35,10 +35,15 @@
 	return promises
 }
 
-// BatchCores returns by pool how many cores its machines have for work that isn't long-running, those on the way included.
+// BatchCores returns by pool how many cores its machines have for work that isn't long-running, those on the way included; none while the
+// jobs take as much memory as they may.
 func (sc *Scheduler) BatchCores() map[string]float64 {
 	cores := make(map[string]float64, len(sc.demand))
 	for name, d := range sc.demand {
+		if sc.lacksMemory() {
+			cores[name] = 0
+			continue
+		}
 		cores[name] = max(0, d.batchCores(d.machines))
 	}
 	return cores
--- a/core/sched/rounds.go
+++ b/core/sched/rounds.go
@@ -37,6 +37,7 @@
 	r.openSteps = len(r.steps)
 	j.begunRounds++
 	j.rounds = append(j.rounds, r)
+	j.memory.add(j.spec.roundMemory())
 	return r
 }
 
@@ -49,6 +50,7 @@
 func (j *job) dropRoundIfOver(r *round) {
 	if index, found := j.findRound(r.number); found && r.isOver() {
 		j.rounds = slices.Delete(j.rounds, index, index+1)
+		j.memory.add(-j.spec.roundMemory())
 	}
 }
 
@@ -99,6 +101,8 @@
 	switch {
 	case open.rounds == 0:
 		return true
+	case sc.lacksMemory():
+		return false
 	case open.idleSteps+len(j.spec.Steps) > maxIdleSteps, len(sc.ensurePool(sc.currentPool(j)).waitingSteps) >= maxWaitingSteps:
 		return false
 	default:
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -50,6 +50,7 @@
 
 	// Indexes and timers.
 	openJobs          map[*job]bool // jobs whose tasks may still be started
+	jobMemory         memoryMeter   // of all jobs
 	endedJobs         []*job        // in the order in which they ended, cancelled ones included
 	settlingJobs      []*job        // ended jobs that may have attempts left
 	settledJobs       []*job        // ended jobs without attempts that still have their steps, in the order in which they were released
@@ -81,6 +82,8 @@
 	name  string
 	used  setup.Resources
 	share shareBucket
+	// The memory of its jobs.
+	memory memoryMeter
 }
 
 // pool holds the steps that wait for workers of one pool.
@@ -259,7 +262,7 @@
 func (sc *Scheduler) ensureTeam(name string) *team {
 	t, found := sc.teams[name]
 	if !found {
-		t = &team{name: name}
+		t = &team{name: name, memory: memoryMeter{total: &sc.jobMemory}}
 		sc.teams[name] = t
 	}
 	return t
--- a/core/sched/task_window.go
+++ b/core/sched/task_window.go
@@ -20,6 +20,7 @@
 	}
 	for i := w.end(); i <= index; i++ {
 		w.tasks = append(w.tasks, &task{step: s, index: i})
+		s.job().memory.add(taskBytes)
 	}
 	return w.tasks[index-w.first]
 }
@@ -53,6 +54,7 @@
 		return
 	}
 	w.tasks[t.index-w.first] = nil
+	s.job().memory.add(-taskBytes)
 	over := 0
 	for over < len(w.tasks) && w.tasks[over] == nil {
 		over++
--- a/gate/lead/meters.go
+++ b/gate/lead/meters.go
@@ -21,6 +21,7 @@
 	metricAttempts    = "mangowing_attempts_total"
 	metricPoolGauge   = "mangowing_pool"
 	metricOffers      = "mangowing_offers_total"
+	metricJobMemory   = "mangowing_jobs_bytes"
 	metricHeldOrders  = "mangowing_held_orders"
 	metricStrain      = "mangowing_owner_strain_seconds"
 	metricWorkerCalls = "mangowing_worker_calls_total"
@@ -81,6 +82,7 @@
 			setGauge(metricPoolGauge, fmt.Sprintf("{pool=%q,what=%q}", l.Pool(), what), value)
 		}
 	}
+	setGauge(metricJobMemory, "", float64(sc.JobMemory()))
 	setGauge(metricHeldOrders, "", float64(heldOrders))
 	setGauge(metricStrain, "", sc.CallLatency().Seconds())
 }
--- a/gate/lead/term.go
+++ b/gate/lead/term.go
@@ -280,7 +280,8 @@
 	klog.InfoS("owner-load", "epoch", t.epoch, "busy-ms", busy.Milliseconds(), "longest-turn-ms", longest.Milliseconds(),
 		"strain-ms", t.scheduler.CallLatency().Milliseconds(), "starts-under-way", startsInFlight, "starts-at-most", maxStarts,
 		"may-order", t.deps.Elector.CanOrder(), "orders-held", len(t.heldOrders), "storing-ms", storing.Milliseconds(),
-		"reports-waiting", len(t.results), "calls-waiting", len(t.calls), "open-jobs", t.scheduler.OpenJobs())
+		"reports-waiting", len(t.results), "calls-waiting", len(t.calls), "open-jobs", t.scheduler.OpenJobs(),
+		"jobs-bytes", t.scheduler.JobMemory())
 }
 
 func (t *term) logDecisions() {
