core/sched: the demand of huge schedules doesn't overflow

Cause: the need of a pool in machines was converted from a float without a bound.

Change: a pool needs at most a million machines before they are rationed.

--- a/core/sched/demand.go
+++ b/core/sched/demand.go
@@ -158,9 +158,12 @@
 	return (float64(machines)*d.coresPerMachine - d.longRunningCores) * usableCoreShare
 }
 
+// maxNeededMachines bounds what a pool needs: clients may schedule work for more machines than an int can count.
+const maxNeededMachines = 1_000_000
+
 // machinesFor returns how many of the pool's machines provide the given cores, headroom included.
 func (d *poolDemand) machinesFor(cores float64) int {
-	return int(math.Ceil(cores/(d.coresPerMachine*usableCoreShare))) + headroomMachines
+	return int(min(maxNeededMachines, math.Ceil(cores/(d.coresPerMachine*usableCoreShare)))) + headroomMachines
 }
 
 // isLate reports whether the job can no longer meet its deadline, or exceeds its team's share. A started job is assumed to be
--- a/core/sched/rounds_test.go
+++ b/core/sched/rounds_test.go
@@ -75,3 +75,26 @@
 	work := demand.urgent.total() + demand.late.total()
 	assert.Assert(t, work > 0.99*3*rounds && work <= 3*rounds, "%v core-seconds", work)
 }
+
+// Guards against numbers of machines that overflow: an accepted job may have billions of due rounds, and each counts as demand.
+func TestDemandOfAnyScheduleStaysInRange(t *testing.T) {
+	b := newTestBench(t, 2)
+	step := StepSpec{Count: 100_000, CPU: 1 << 20, EstimateMs: 24 * 60 * 60 * 1000}
+	lasting := step
+	lasting.LongRunning = true
+	for id, s := range map[string]StepSpec{"a": step, "b": lasting} {
+		b.sc.AcceptFromInbox(b.now, JobSpec{ID: id, Queue: "plans", Pool: "pots", Steps: []StepSpec{s}, Repetitions: 1 << 40, IntervalMs: 1, MaxAttempts: 2})
+	}
+	b.advance(time.Second)
+	demand := b.sc.measureDemand(b.now, nil)
+	d := demand["pots"]
+	assert.Assert(t, d.needed >= d.neededWithForecast && d.neededWithForecast >= d.neededNow && d.neededNow > 1000*d.machines, "%d, %d and %d machines are needed", d.needed, d.neededWithForecast, d.neededNow)
+	for _, other := range demand {
+		other.machines, other.neededAtLeast = 2, 0
+		other.needed, other.neededNow, other.neededWithForecast = d.needed, d.neededNow, d.neededWithForecast
+	}
+	rationMachines(demand)
+	for name, other := range demand {
+		assert.Assert(t, other.needed >= 0 && other.needed <= 100, "pool %s needs %d machines", name, other.needed)
+	}
+}
