core/sched: attempts take a bounded part of the owner's memory

Each attempt takes some 660 bytes of the owner.

Change: the attempts of all teams take at most as much memory as all jobs may, and those of a team no more than is left then, so that others can start theirs. Further tasks wait, also those of a limit that many tasks at once would exceed, which is computed without a loop over them.

--- a/core/sched/job_memory.go
+++ b/core/sched/job_memory.go
@@ -50,6 +50,16 @@
 	return sc.options.MaxJobMemory > 0 && sc.jobMemory.bytes >= sc.options.MaxJobMemory
 }
 
+// fitsRunMemory reports whether that many more tasks of a team may run. Tasks that need no room would fit on a worker in any number. The attempts
+// of all teams take at most as much memory as all jobs may, and those of a team no more than is left then.
+func (sc *Scheduler) fitsRunMemory(teamName string, tasks int) bool {
+	if sc.options.MaxJobMemory <= 0 {
+		return true
+	}
+	left := sc.options.MaxJobMemory/(taskBytes+runBytes) - sc.runCount - tasks
+	return sc.ensureTeam(teamName).runCount+tasks <= left
+}
+
 // checkMemory refuses a job if its team's jobs would take more memory than is left for all teams then. So one team takes about half of the
 // memory at most, and there is always some left for a team that has taken little.
 func (sc *Scheduler) checkMemory(spec *JobSpec) (Refusal, bool) {
--- a/core/sched/lifecycle.go
+++ b/core/sched/lifecycle.go
@@ -17,7 +17,7 @@
 	sc.evacuations = evacuations{}
 	clear(sc.workers)
 	clear(sc.teams)
-	sc.jobMemory = memoryMeter{}
+	sc.jobMemory, sc.runCount = memoryMeter{}, 0
 	clear(sc.pools)
 	sc.workersByID, sc.poolOrder = nil, nil
 }
@@ -138,6 +138,8 @@
 	}
 	team := sc.ensureTeam(t.job().spec.Team)
 	team.used = team.used.Add(s.spec.QuotaUsage())
+	team.runCount++
+	sc.runCount++
 	sc.ensurePool(sc.currentPool(t.job())).runningCores[team.name] += s.spec.QuotaUsage().Cores()
 	sc.updateWaiting(s)
 	return r
@@ -227,6 +229,8 @@
 	r.worker.removeRun(r)
 	team := sc.ensureTeam(t.job().spec.Team)
 	team.used = team.used.Sub(s.spec.QuotaUsage())
+	team.runCount--
+	sc.runCount--
 	sc.ensurePool(sc.currentPool(t.job())).runningCores[team.name] -= s.spec.QuotaUsage().Cores()
 	if t.isWaiting() {
 		s.waitingTasks++
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -51,6 +51,7 @@
 	// Indexes and timers.
 	openJobs          map[*job]bool // jobs whose tasks may still be started
 	jobMemory         memoryMeter   // of all jobs
+	runCount          int           // attempts on workers
 	endedJobs         []*job        // in the order in which they ended, cancelled ones included
 	settlingJobs      []*job        // ended jobs that may have attempts left
 	settledJobs       []*job        // ended jobs without attempts that still have their steps, in the order in which they were released
@@ -83,7 +84,8 @@
 	used  setup.Resources
 	share shareBucket
 	// The memory of its jobs.
-	memory memoryMeter
+	memory   memoryMeter
+	runCount int // attempts on workers
 }
 
 // pool holds the steps that wait for workers of one pool.
--- a/core/sched/worker_choice.go
+++ b/core/sched/worker_choice.go
@@ -3,20 +3,22 @@
 import (
 	"cmp"
 	"time"
+
+	"mangowing/core/setup"
 )
 
-// fitsTeamLimit reports whether that many more tasks of the step fit within the limit of its team.
+// fitsTeamLimit reports whether that many more tasks of the step may run for their team: by its resource limit, and by the memory of attempts.
 func (sc *Scheduler) fitsTeamLimit(s *step, tasks int) bool {
 	name := s.job().spec.Team
+	if !sc.fitsRunMemory(name, tasks) {
+		return false
+	}
 	t, declared := sc.cfg.Team(name)
 	if !declared {
 		return true
 	}
-	used := sc.ensureTeam(name).used
 	perTask := s.spec.QuotaUsage()
-	for range tasks {
-		used = used.Add(perTask)
-	}
+	used := sc.ensureTeam(name).used.Add(setup.Resources{CPU: tasks * perTask.CPU, MemMB: tasks * perTask.MemMB, GPU: tasks * perTask.GPU})
 	return isWithin(used.CPU, t.Limit.CPU) && isWithin(used.MemMB, t.Limit.MemMB) && isWithin(used.GPU, t.Limit.GPU)
 }
 
