core/sched: cancellations of jobs that never arrive are forgotten

Change: they are kept as long as the state of an ended job is, which covers all late copies of a job in the inbox.

Evidence: TestCancellationsOfUnknownJobsAreForgotten failed before: 9,999 of 10,000 are left. It checks as well that a job is still cancelled that arrives a second before the time is over, at the first owner and at the next, and that nothing is forgotten while a partition of the inbox hasn't been read.

--- a/core/sched/decide.go
+++ b/core/sched/decide.go
@@ -65,6 +65,7 @@
 	if now.Sub(sc.lastPeriodicCheck) >= periodicCheckInterval {
 		sc.lastPeriodicCheck = now
 		sc.markAllPoolsDirty()
+		sc.forgetEarlyCancels(now)
 		sc.quarantineStalledWorkers(now)
 		sc.quarantineSlowWorkers(now)
 		sc.stopTasksOnDrainingWorkers(now)
--- a/core/sched/ended_jobs.go
+++ b/core/sched/ended_jobs.go
@@ -46,11 +46,16 @@
 	j.memory.add(j.spec.memory() - j.memory.bytes)
 }
 
+// isForgotten reports whether what ended at the given time may be forgotten.
+func (sc *Scheduler) isForgotten(now, endedAt time.Time) bool {
+	return now.Sub(endedAt) >= sc.options.Retention && (sc.keepEndedSince.IsZero() || !endedAt.After(sc.keepEndedSince))
+}
+
 // forgetEndedJobs removes ended jobs after the retention time.
 func (sc *Scheduler) forgetEndedJobs(now time.Time) {
 	for len(sc.endedJobs) > 0 {
 		j := sc.endedJobs[0]
-		if now.Sub(j.endedAt) < sc.options.Retention || j.runCount > 0 || !sc.keepEndedSince.IsZero() && j.endedAt.After(sc.keepEndedSince) {
+		if j.runCount > 0 || !sc.isForgotten(now, j.endedAt) {
 			return
 		}
 		sc.endedJobs = sc.endedJobs[1:]
--- a/core/sched/held_memory_test.go
+++ b/core/sched/held_memory_test.go
@@ -133,6 +133,32 @@
 	}
 }
 
+// Guards against memory, and against snapshots, that grow with cancellations of jobs that nobody has submitted, and against jobs that run
+// although they were cancelled shortly before they arrived.
+func TestCancellationsOfUnknownJobsAreForgotten(t *testing.T) {
+	const cancels = 10_000
+	b := newTestBench(t, 1)
+	for n := range cancels {
+		b.sc.CancelFromInbox(b.now, fmt.Sprintf("%016x", n))
+	}
+	b.decideAndStore()
+	next := b.newOwner()
+	for _, owner := range []*testBench{b, next} {
+		assert.Equal(t, len(owner.sc.earlyCancels), cancels)
+		owner.advance(defaultRetention - time.Second)
+		owner.sc.AcceptFromInbox(owner.now, JobSpec{ID: fmt.Sprintf("%016x", 1), Queue: "plans", Pool: "pots", Steps: []StepSpec{oneCoreStep(1)}})
+		owner.decideAndStore()
+		assert.Equal(t, owner.state(fmt.Sprintf("%016x", 1)), "cancelled")
+		owner.sc.KeepEndedSince(owner.now.Add(-defaultRetention))
+		owner.advance(2 * time.Second)
+		assert.Equal(t, len(owner.sc.earlyCancels), cancels-1, "a partition of the inbox has not been read since")
+		owner.sc.KeepEndedSince(time.Time{})
+		owner.advance(time.Second)
+		assert.Equal(t, len(owner.sc.earlyCancels), 0)
+		assert.Assert(t, len(owner.sc.Snapshot()) < 10)
+	}
+}
+
 // Guards against a run that a new owner doesn't know: the other runs of a gang whose end has come are still on their workers when a
 // snapshot is written.
 func TestRunsOfAGangThatIsDoneSurviveASnapshot(t *testing.T) {
--- a/core/sched/intake.go
+++ b/core/sched/intake.go
@@ -98,6 +98,16 @@
 		record := JobCancelled{ID: id}
 		sc.appendRecord(record)
 		sc.cancelJob(record)
+		sc.earlyCancels[id] = now
+	}
+}
+
+// forgetEarlyCancels forgets the cancellations of jobs that can't arrive any more.
+func (sc *Scheduler) forgetEarlyCancels(now time.Time) {
+	for id, at := range sc.earlyCancels {
+		if sc.isForgotten(now, at) {
+			delete(sc.earlyCancels, id)
+		}
 	}
 }
 
--- a/core/sched/lifecycle.go
+++ b/core/sched/lifecycle.go
@@ -29,7 +29,7 @@
 	spec := r.Job
 	j := newJob(&spec, &sc.ensureTeam(spec.Team).memory)
 	sc.jobs[spec.ID] = j
-	if sc.earlyCancels[spec.ID] {
+	if _, isCancelled := sc.earlyCancels[spec.ID]; isCancelled {
 		delete(sc.earlyCancels, spec.ID)
 		j.cancelled = true
 	}
@@ -83,7 +83,7 @@
 func (sc *Scheduler) cancelJob(r JobCancelled) {
 	j, known := sc.jobs[r.ID]
 	if !known {
-		sc.earlyCancels[r.ID] = true
+		sc.earlyCancels[r.ID] = time.Time{}
 		return
 	}
 	if j.finalState.IsFinal() {
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -21,7 +21,7 @@
 
 	// State that is restored from the journal.
 	jobs              map[string]*job
-	earlyCancels      map[string]bool // ids of jobs that were cancelled before they arrived
+	earlyCancels      map[string]time.Time // when jobs were cancelled that have not arrived, by id; during replay zero
 	teams             map[string]*team
 	pools             map[string]*pool
 	poolOrder         []*pool         // all pools in order of creation
@@ -130,7 +130,7 @@
 	return &Scheduler{
 		options: options.withDefaults(),
 		cfg:     setup.New(0, nil, nil, nil, setup.Limits{}),
-		jobs:    map[string]*job{}, earlyCancels: map[string]bool{}, workers: map[string]*worker{},
+		jobs:    map[string]*job{}, earlyCancels: map[string]time.Time{}, workers: map[string]*worker{},
 		teams: map[string]*team{}, pools: map[string]*pool{}, machines: map[string]*machine{}, inboxOffsets: map[int]int64{},
 		openJobs: map[*job]bool{}, replacedWorkers: map[string]int64{}, formerLeases: map[string]time.Time{}, waveFirstSeen: map[int64]int64{}, maintained: map[maintenanceKey]bool{}, maintenanceOrders: map[string]int64{},
 		waves: map[int64]*wave{}, changedJobs: map[*job]bool{}, workersWithNewEnds: map[*worker]bool{},
@@ -152,6 +152,9 @@
 		}
 		sc.updateJobReadiness(j, now)
 	}
+	for id := range sc.earlyCancels {
+		sc.earlyCancels[id] = now
+	}
 	sc.predecessorRenewsUntil = now.Add(predecessorRenewalTime)
 	for _, w := range sc.workersByID {
 		w.verified, w.nextPollAt = false, now
--- a/core/sched/snapshot_test.go
+++ b/core/sched/snapshot_test.go
@@ -37,7 +37,8 @@
 		}
 		assert.Equal(t, len(next.jobs), 3, "%d of %d records of the snapshot", stored, len(snapshot))
 		assert.Equal(t, len(next.openJobs), 2)
-		assert.Assert(t, next.earlyCancels["early"])
+		_, isCancelled := next.earlyCancels["early"]
+		assert.Assert(t, isCancelled)
 		assert.Equal(t, next.jobs["done"].finalState, StateCompleted)
 		assert.Equal(t, next.jobs["open"].runCount, 2)
 		assert.Equal(t, next.jobs["later"].rounds[0].steps[0].remainingTasks, 1)
