gate/intake: a cancellation with an id that no job can have is answered at once

Cause: DELETE passed on whatever stands behind the prefix, while POST checks that it is an id. Without an owner such a text, as long as a header may be, was stored in the inbox, and kept by the owner.

Change: it is answered 410, as an unknown job is, before anything is asked.

Evidence: TestCancelOfAnIDThatNoJobHasIsAnsweredAtOnce; without the check it goes on to the owner and the log (a nil dereference in the test, which has neither).

--- a/gate/intake/inbox_test.go
+++ b/gate/intake/inbox_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -132,3 +133,12 @@
 		})
 	}
 }
+
+// Guards against memory of the owner that holds texts of any length: an id that no job can have was stored in the inbox, for good.
+func TestCancelOfAnIDThatNoJobHasIsAnsweredAtOnce(t *testing.T) {
+	for _, id := range []string{"5c0e7a21d94b36f8/more", "abc", strings.Repeat("a", 16<<10)} {
+		// It has no owner, no log and no elector to ask.
+		reply := (&Service{}).cancel(t.Context(), Call{}, id)
+		assert.Equal(t, reply.Code(), codes.JobUnknown)
+	}
+}
--- a/gate/intake/service.go
+++ b/gate/intake/service.go
@@ -262,6 +262,14 @@
 	if code != codes.OK {
 		return s.recordRefusal("cancel", id, code)
 	}
+	return s.cancel(ctx, c, id)
+}
+
+func (s *Service) cancel(ctx context.Context, c Call, id string) Reply {
+	if !isValidID(id) {
+		recordCall("cancel", codes.JobUnknown, c.Received)
+		return newRefusal(codes.JobUnknown, 0)
+	}
 	if s.isCutOff() {
 		return refuseCutOff("cancel", id, c)
 	}
