core/sched: a team's open jobs are bounded, since each pass goes through all of them

Within the memory of jobs, one team can have 46,413 due rounds of jobs with a step that no worker runs.

Change: of 32,768 open jobs a team may have no more than are left for all teams, as for memory; more are refused with 429, a Retry-After and the cause too-many-jobs. The file of both limits is owner_limits.go.

Evidence: TestTooManyOpenJobsAreRefused, run without the bound, accepted 2,000 of 2,000 jobs where 500 may be open.

--- a/core/sched/intake.go
+++ b/core/sched/intake.go
@@ -32,7 +32,7 @@
 	if r, refused := sc.refuseEvacuated(&spec); refused {
 		return Overloaded, r
 	}
-	if r, refused := sc.checkMemory(&spec); refused {
+	if r, refused := sc.checkOwnerLimits(&spec); refused {
 		return Overloaded, r
 	}
 	spec.OverShare = !sc.isRetryOfRefused(spec.ID) && sc.exceedsShare(now, &spec)
--- a/core/sched/lifecycle.go
+++ b/core/sched/lifecycle.go
@@ -37,12 +37,21 @@
 		return j
 	}
 	sc.openJobs[j] = true
+	sc.ensureTeam(spec.Team).openJobs++
 	if !spec.IsTimed() {
 		sc.beginRound(j)
 	}
 	return j
 }
 
+// closeJob removes a job from the open ones that is not open any more.
+func (sc *Scheduler) closeJob(j *job) {
+	if sc.openJobs[j] {
+		delete(sc.openJobs, j)
+		sc.ensureTeam(j.spec.Team).openJobs--
+	}
+}
+
 // beginRound adds the job's next round and queues the steps without dependencies.
 func (sc *Scheduler) beginRound(j *job) *round {
 	r := j.addRound()
@@ -90,7 +99,7 @@
 		return
 	}
 	j.cancelled = true
-	delete(sc.openJobs, j)
+	sc.closeJob(j)
 	for _, round := range j.rounds {
 		for _, s := range round.steps {
 			sc.updateWaiting(s)
@@ -271,7 +280,7 @@
 // endJob sets the job's final state and removes its steps from the queue.
 func (sc *Scheduler) endJob(j *job, outcome JobState, now time.Time) {
 	j.finalState = outcome
-	delete(sc.openJobs, j)
+	sc.closeJob(j)
 	for _, r := range j.rounds {
 		for _, s := range r.steps {
 			sc.updateWaiting(s)
--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -23,6 +23,8 @@
 	RemoteFactor float64
 	// MaxJobMemory is how many bytes the state of all jobs should take; 0 for no bound. Jobs beyond it are refused.
 	MaxJobMemory int
+	// MaxOpenJobs is how many jobs may be open; others are refused. Each pass of the owner goes through all of them.
+	MaxOpenJobs int
 	// MaxRecordBytes is the largest record that the journal stores.
 	MaxRecordBytes int
 }
@@ -41,6 +43,7 @@
 	// Orders per second.
 	defaultMachineOrderRate = 50.0
 	defaultMaxRecordBytes   = 256 << 10
+	defaultMaxOpenJobs      = 1 << 15
 )
 
 func (o Options) withDefaults() Options {
@@ -65,6 +68,9 @@
 	if o.MachineOrderRate == 0 {
 		o.MachineOrderRate = defaultMachineOrderRate
 	}
+	if o.MaxOpenJobs == 0 {
+		o.MaxOpenJobs = defaultMaxOpenJobs
+	}
 	if o.MaxRecordBytes == 0 {
 		o.MaxRecordBytes = defaultMaxRecordBytes
 	}
--- a/core/sched/job_memory.go
+++ b/core/sched/owner_limits.go
@@ -13,8 +13,8 @@
 	runBytes      = 448 // its entries at its worker included
 )
 
-// Clients that are refused for lack of memory should come back after this time, in which other jobs end.
-const memoryRetryAfter = 5 * time.Second
+// Clients that are refused for the limits of the owner should come back after this time, in which other jobs end.
+const ownerLimitRetryAfter = 5 * time.Second
 
 // memoryMeter sums up the estimated memory of jobs. The zero value counts for itself alone.
 type memoryMeter struct {
@@ -60,16 +60,22 @@
 	return sc.ensureTeam(teamName).runCount+tasks <= left
 }
 
-// checkMemory refuses a job if its team's jobs would take more memory than is left for all teams then. So one team takes about half of the
-// memory at most, and there is always some left for a team that has taken little.
-func (sc *Scheduler) checkMemory(spec *JobSpec) (Refusal, bool) {
+// checkOwnerLimits refuses a job if its team would have more open jobs, or take more memory, than is left for all teams then. So one team takes
+// about half of what there is at most, and there is always some left for a team that has taken little.
+func (sc *Scheduler) checkOwnerLimits(spec *JobSpec) (Refusal, bool) {
+	t := sc.ensureTeam(spec.Team)
+	r := Refusal{retryAfter: ownerLimitRetryAfter + retryJitter(spec.ID)}
+	if left := sc.options.MaxOpenJobs - len(sc.openJobs) - 1; t.openJobs+1 > left {
+		r.cause = tooManyJobs
+		return r, true
+	}
 	if sc.options.MaxJobMemory <= 0 {
 		return Refusal{}, false
 	}
 	needed := spec.memory() + spec.roundMemory()
-	left := sc.options.MaxJobMemory - sc.jobMemory.bytes - needed
-	if sc.ensureTeam(spec.Team).memory.bytes+needed <= left {
-		return Refusal{}, false
+	if left := sc.options.MaxJobMemory - sc.jobMemory.bytes - needed; t.memory.bytes+needed > left {
+		r.cause = memoryUsedUp
+		return r, true
 	}
-	return Refusal{retryAfter: memoryRetryAfter + retryJitter(spec.ID), cause: memoryUsedUp}, true
+	return Refusal{}, false
 }
--- a/core/sched/job_memory_test.go
+++ b/core/sched/owner_limits_test.go
@@ -47,6 +47,29 @@
 	}
 }
 
+// Guards against passes over so many open jobs that leases lapse meanwhile: jobs that wait for their time or for a worker are never refused for
+// lack of capacity, and each pass goes through all of them.
+func TestTooManyOpenJobsAreRefused(t *testing.T) {
+	const most = 1000
+	b := newTestBench(t, 1)
+	b.sc.options.MaxOpenJobs = most
+	ahead := JobSpec{Pool: "pots", Steps: []StepSpec{oneCoreStep(5)}, StartMs: testStart.UnixMilli() + 1e9, IntervalMs: 60_000, Repetitions: 1000}
+	assert.Equal(t, b.submitFlood(ahead, "floor", 2*most), most/2)
+	assert.Equal(t, b.submitFlood(ahead, "retail", 2*most), most/4)
+	assert.Equal(t, b.submitFlood(ahead, "", 1), 1)
+	again := ahead
+	again.ID, again.Team = "again", "retail"
+	result, _ := b.sc.Submit(b.now, again)
+	assert.Equal(t, result, Overloaded)
+	for n := range most / 2 {
+		b.sc.Cancel(b.now, fmt.Sprintf("floor-%016x", n))
+	}
+	b.decideAndStore()
+	assert.Assert(t, b.sc.OpenJobs() == most/4+1, "%d jobs are open", b.sc.OpenJobs())
+	result, _ = b.sc.Submit(b.now, again)
+	assert.Equal(t, result, Accepted, "jobs that were cancelled don't count")
+}
+
 // submitFlood submits jobs like the given one for a team, and returns how many were accepted.
 func (b *testBench) submitFlood(like JobSpec, team string, jobs int) (accepted int) {
 	b.t.Helper()
--- a/core/sched/refusal.go
+++ b/core/sched/refusal.go
@@ -12,12 +12,13 @@
 	teamLimitExceeded                // the work ahead of its team takes too long under the team's resource limit
 	schedulerOverloaded              // the scheduler process has no CPU time for it
 	poolEvacuated                    // all data centres of its pool are evacuated
+	tooManyJobs                      // the owner goes through as many open jobs of its team, or of all teams, as it can
 	memoryUsedUp                     // the jobs of its team, or of all teams, take too much of the owner's memory
 )
 
 // String returns the cause's name, such as "pool-full".
 func (c refusalCause) String() string {
-	return [...]string{"none", "pool-full", "share-used", "limit-used", "owner-busy", "evacuated", "memory-used"}[c]
+	return [...]string{"none", "pool-full", "share-used", "limit-used", "owner-busy", "evacuated", "too-many-jobs", "memory-used"}[c]
 }
 
 // Refusal is why a job was refused, and when the client may retry. The zero value is no refusal.
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -86,6 +86,7 @@
 	// The memory of its jobs.
 	memory   memoryMeter
 	runCount int // attempts on workers
+	openJobs int
 }
 
 // pool holds the steps that wait for workers of one pool.
--- a/core/sched/snapshot.go
+++ b/core/sched/snapshot.go
@@ -140,7 +140,7 @@
 	j.started = r.Started
 	j.cancelled, j.finalState = r.Cancelled, r.FinalState
 	if !j.isOpen() {
-		delete(sc.openJobs, j)
+		sc.closeJob(j)
 	}
 	if r.EndedMs > 0 {
 		j.endedAt = time.UnixMilli(r.EndedMs)
