--- a/core/sched/capacity.go
+++ b/core/sched/capacity.go
@@ -311,11 +311,11 @@
 }
 
 // limits returns when a round should be done, and until when it is of use to its client.
-func (j *job) limits(number int) (deadline, usefulUntil time.Time) {
+func (j *job) limits(round int) (deadline, usefulUntil time.Time) {
 	deadline, criticalPath := j.deadline()
 	received := time.UnixMilli(cmp.Or(j.spec.FirstReceivedMs, j.spec.AcceptedMs))
 	if j.spec.IsTimed() {
-		received = j.spec.RoundDue(number)
+		received = j.spec.RoundDue(round)
 		deadline = received.Add(criticalPath * timedRoundFactor)
 	}
 	return deadline, received.Add(maxUsefulFactor * deadline.Sub(received))
--- a/core/sched/replay.go
+++ b/core/sched/replay.go
@@ -18,6 +18,18 @@
 	}
 }
 
+// addPart collects a record that has its meaning in a snapshot only. It fails if none was started.
+func (s *pendingSnapshot) addPart(r Record) error {
+	if !s.started {
+		return eris.Errorf("%T outside of a snapshot", r)
+	}
+	if _, isJob := r.(JobSnapshot); isJob {
+		s.jobs++
+	}
+	s.records = append(s.records, r)
+	return nil
+}
+
 // Replay applies a record of the journal. Records must be passed in journal order, before TakeOwnership. It fails on records
 // that contradict the state.
 func (sc *Scheduler) Replay(r Record) error {
@@ -25,37 +37,8 @@
 	case SnapshotStarted:
 		sc.snapshot = pendingSnapshot{started: true, inboxOffset: r.Offset}
 		return nil
-	case JobSnapshot:
-		if !sc.snapshot.started {
-			return eris.Errorf("job %s is saved outside of a snapshot", r.Job.ID)
-		}
-		sc.snapshot.jobs++
-		sc.snapshot.add(r)
-		return nil
-	case TasksSnapshot:
-		if !sc.snapshot.started {
-			return eris.Errorf("tasks of job %s are saved outside of a snapshot", r.Job)
-		}
-		sc.snapshot.add(r)
-		return nil
-	case TasksDone:
-		if !sc.snapshot.started {
-			return eris.Errorf("tasks of job %s are saved as done outside of a snapshot", r.Job)
-		}
-		sc.snapshot.add(r)
-		return nil
-	case RoundsDone:
-		if !sc.snapshot.started {
-			return eris.Errorf("rounds of job %s are saved as done outside of a snapshot", r.Job)
-		}
-		sc.snapshot.add(r)
-		return nil
-	case TaskCrashes:
-		if !sc.snapshot.started {
-			return eris.Errorf("crashes under task %s are saved outside of a snapshot", r.Task)
-		}
-		sc.snapshot.add(r)
-		return nil
+	case JobSnapshot, TasksSnapshot, TasksDone, RoundsDone, TaskCrashes:
+		return sc.snapshot.addPart(r)
 	case SnapshotEnded:
 		return sc.replaySnapshot(r)
 	case InboxPartitionAdvanced:
