core/sched: no room is set aside for long-running tasks that need none

A task without a size always finds some, so that the state of all tasks of its step was created, however large its count.

Change: steps without a size are left out.

Evidence: TestNoRoomIsSetAsideForTasksWithoutASize failed before: all 100,000 tasks were needed.

--- a/core/sched/evacuation_moves.go
+++ b/core/sched/evacuation_moves.go
@@ -77,7 +77,7 @@
 	for _, p := range sc.poolOrder {
 		var steps []*step
 		for s := range p.waitingSteps {
-			if s.spec.LongRunning && !s.spec.Gang {
+			if s.spec.LongRunning && !s.spec.Gang && s.spec.Reservation() != (setup.Resources{}) {
 				steps = append(steps, s)
 			}
 		}
--- a/core/sched/evacuation_test.go
+++ b/core/sched/evacuation_test.go
@@ -289,3 +289,19 @@
 	b.submit("a", dataStep(1, "r1"))
 	assert.Equal(t, len(b.answerStarts(AnswerOK)), 1)
 }
+
+// Guards against memory that grows with the count of a step during an evacuation: room is set aside for waiting long-running tasks, which those
+// without a size don't need.
+func TestNoRoomIsSetAsideForTasksWithoutASize(t *testing.T) {
+	const tasks = 100_000
+	b := newEvacuationBench(t, "a", "b")
+	b.evacuate(1, "b")
+	b.sc.AcceptFromInbox(b.now, JobSpec{ID: "a", Queue: "plans", Pool: "pots", Steps: []StepSpec{{Count: tasks, LongRunning: true}}})
+	b.now = b.now.Add(periodicCheckInterval)
+	b.decideAndStore()
+	started := len(b.answerStarts(AnswerOK))
+	assert.Assert(t, started > 0)
+	b.advance(periodicCheckInterval)
+	needed := b.sc.jobs["a"].rounds[0].steps[0].window.end()
+	assert.Assert(t, needed < tasks/10, "%d tasks were needed", needed)
+}
