gate/intake: a gang that is too wide to start is refused

Cause: the tasks of a gang start together, and since the attempts that run at a time are bounded: a gang wider than that would be accepted and never start.

Change: a job with more than 10,000 tasks in a gang is answered 413 at once.

Evidence: TestJobWithAGangThatCannotStartIsRefused; without the check the job goes on to the owner (a nil dereference in the test, which has none).

--- a/core/sched/spec.go
+++ b/core/sched/spec.go
@@ -57,6 +57,17 @@
 	return float64(tasks) * rounds
 }
 
+// LargestGang returns the number of tasks in the widest step that is a gang.
+func (s *JobSpec) LargestGang() int {
+	widest := 0
+	for i := range s.Steps {
+		if step := &s.Steps[i]; step.Gang {
+			widest = max(widest, step.Count)
+		}
+	}
+	return widest
+}
+
 // hasTask reports whether the task is one of the job's.
 func (s *JobSpec) hasTask(id TaskID) bool {
 	return min(id.Round, id.Step, id.Index) >= 0 && id.Round < s.RoundCount() && id.Step < len(s.Steps) && id.Index < s.Steps[id.Step].Count
--- a/gate/intake/inbox_test.go
+++ b/gate/intake/inbox_test.go
@@ -102,6 +102,17 @@
 	}
 }
 
+// Guards against an accepted job that can never start: the tasks of a gang start together, and the attempts that run at a time are bounded.
+func TestJobWithAGangThatCannotStartIsRefused(t *testing.T) {
+	service := &Service{maxJobBytes: sched.Options{}.MaxJobBytes()}
+	wide := sched.StepSpec{Count: maxGangTasks + 1, Gang: true}
+	reply := service.submit(t.Context(), sched.JobSpec{Steps: []sched.StepSpec{{Count: 1}, wide}})
+	assert.Equal(t, reply.Code(), codes.JobTooLarge)
+	wide.Gang = false
+	spec := sched.JobSpec{Steps: []sched.StepSpec{wide, {Count: maxGangTasks, Gang: true}}}
+	assert.Equal(t, spec.LargestGang(), maxGangTasks)
+}
+
 // halfDownLog is a log of which one inbox partition ends every append with an error, at once or when the caller gives up.
 type halfDownLog struct {
 	ports.Log
--- a/gate/intake/service.go
+++ b/gate/intake/service.go
@@ -39,7 +39,9 @@
 	// Callers may send any text in the place of an id.
 	maxLoggedID = 40
 	// Tasks of one job that may be due together, see JobSpec.TasksDue. More could only wait.
-	maxTasksDue       = 100_000
+	maxTasksDue = 100_000
+	// Tasks of a gang, which start together.
+	maxGangTasks      = 10_000
 	defaultRetryAfter = time.Second
 	// Callers should retry after this time while neither the owner nor the log can be reached.
 	unavailableRetryAfter = 2 * time.Second
@@ -185,9 +187,9 @@
 		klog.ErrorS(err, "job-not-encoded", "job", spec.ID)
 		return newRefusal(codes.MalformedRequest, 0)
 	}
-	if due := spec.TasksDue(time.Now()); len(record) > s.maxJobBytes || due > maxTasksDue {
+	if due, gang := spec.TasksDue(time.Now()), spec.LargestGang(); len(record) > s.maxJobBytes || due > maxTasksDue || gang > maxGangTasks {
 		klog.InfoS("job-refused", "job", spec.ID, "code", codes.JobTooLarge.String(), "bytes", len(record), "most-bytes", s.maxJobBytes,
-			"tasks-due", due, "most-tasks", maxTasksDue)
+			"tasks-due", due, "most-tasks", maxTasksDue, "gang", gang, "most-gang", maxGangTasks)
 		return newRefusal(codes.JobTooLarge, 0)
 	}
 	started := time.Now()
