--- a/core/sched/delayed_rounds.go
+++ b/core/sched/delayed_rounds.go
@@ -46,8 +46,8 @@
 	return longRunning
 }
 
-// addDelayedPromises adds what the rounds of a job need that are due and have not begun, given the times of timesBefore. All are promised until
-// the limit of the last one; late ones that are no longer of use promise nothing.
+// addDelayedPromises adds what the rounds of a job need that are due and have not begun, given what timesBefore returned. All are promised by the
+// time at which the last one should be done; late ones that are no longer of use to their client promise nothing.
 func (sc *Scheduler) addDelayedPromises(now time.Time, j *job, class admit.Class, before []time.Duration) {
 	delayed := j.delayedRounds(now)
 	if delayed == 0 {
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -78,14 +78,13 @@
 	localityWaits      LocalityWaits
 }
 
-// team tracks the resources that an organisation uses and its rate of new jobs.
+// team tracks the resources that an organisation uses, its rate of new jobs, and what its jobs cost the owner.
 type team struct {
-	name  string
-	used  setup.Resources
-	share shareBucket
-	// The memory of its jobs.
-	memory   memoryMeter
-	runCount int // attempts on workers
+	name     string
+	used     setup.Resources
+	share    shareBucket
+	memory   memoryMeter // of its jobs
+	runCount int         // attempts on workers
 	openJobs int
 }
 
