gate/daemon/caller: a planned stop leaves idle connections open

Callers saw: a request to a gate whose planned stop begins gets no answer (EOF, or a reset connection).

Cause: the stop calls SetKeepAlivesEnabled(false), which closes idle connections at once, also one on which a request has just arrived.

Change: answers say "Connection: close" from then on, and idle connections stay open until Shutdown, after the lame-duck time.

Evidence: TestRequestOnAnIdleConnectionIsServedDuringAPlannedStop failed before ("unexpected EOF"), each time.

--- a/gate/daemon/caller/server.go
+++ b/gate/daemon/caller/server.go
@@ -53,13 +53,14 @@
 	options Options
 	http    *http.Server
 	active  atomic.Int64
+	closing atomic.Bool // each answer ends its connection
 }
 
 // New returns the server. isReady reports whether the load balancer may send requests; it is the answer of /readyz.
 func New(process *proc.Process, states StateSource, runner Runner, once Once, isReady func() bool, options Options) *Server {
 	s := &Server{process: process, states: states, runner: runner, once: once, isReady: isReady, options: options}
 	s.http = &http.Server{
-		Handler:           s.routes(),
+		Handler:           s.closeIfStopping(s.routes()),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -97,12 +98,22 @@
 // ActiveCalls returns the number of calls in progress.
 func (s *Server) ActiveCalls() int64 { return s.active.Load() }
 
-// DisableKeepAlives adds "Connection: close" to every further answer.
-func (s *Server) DisableKeepAlives() { s.http.SetKeepAlivesEnabled(false) }
+// DisableKeepAlives adds "Connection: close" to every further answer. Idle connections stay open until Shutdown: a request may be on its way on
+// one, which http.Server.SetKeepAlivesEnabled would cut.
+func (s *Server) DisableKeepAlives() { s.closing.Store(true) }
 
 // Shutdown closes the listener and the idle connections and waits for the calls in progress.
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
+func (s *Server) closeIfStopping(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.closing.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 func (s *Server) countActive(h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.active.Add(1)
--- a/gate/daemon/caller/server_test.go
+++ b/gate/daemon/caller/server_test.go
@@ -1,11 +1,13 @@
 package caller
 
 import (
+	"bufio"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -211,3 +213,31 @@
 		})
 	}
 }
+
+// Guards against requests that a planned stop cuts: it closed idle connections at once, also one on which a request had just arrived.
+func TestRequestOnAnIdleConnectionIsServedDuringAPlannedStop(t *testing.T) {
+	options := Options{Address: "127.0.0.1:0", MaxBodyBytes: maxBody, Metrics: func(io.Writer) {}, IsSynced: func() bool { return true }}
+	s := New(proc.New("gate-1"), newStates(t), nil, nil, func() bool { return true }, options)
+	listener, err := net.Listen("tcp", options.Address)
+	assert.NilError(t, err)
+	go func() { _ = s.http.Serve(listener) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	answers := bufio.NewReader(conn)
+	for _, isStopping := range []bool{false, true} {
+		if isStopping {
+			s.DisableKeepAlives()
+		}
+		_, err = conn.Write([]byte("GET /readyz HTTP/1.1\r\nHost: gate\r\n\r\n"))
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(answers, nil)
+		assert.NilError(t, err)
+		_ = resp.Body.Close()
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		assert.Equal(t, resp.Close, isStopping, "whether the answer says that the connection is closed")
+	}
+	_, err = answers.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	assert.NilError(t, s.Shutdown(t.Context()))
+}
